--- /dev/null
+++ b/modules/core/core.h
@@ -0,0 +1,16 @@
+// Purpose: the vocabulary that every other module uses: results, checks of invariants, clocks and deadlines, tables of
+// enumerator names, key=value log lines, random numbers and digests.
+// Dependencies: spdlog, OpenSSL (libcrypto), Boost.Outcome.
+#pragma once
+
+#include <core/checks/Assertion.h>
+#include <core/errors/Result.h>
+#include <core/log/Log.h>
+#include <core/log/LogLine.h>
+#include <core/text/Digest.h>
+#include <core/text/EnumNames.h>
+#include <core/text/Identifier.h>
+#include <core/time/BootClock.h>
+#include <core/time/Deadline.h>
+#include <core/time/Instant.h>
+#include <core/time/ManualClock.h>
--- /dev/null
+++ b/modules/core/errors/Result.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <boost/outcome/basic_result.hpp>
+#include <boost/outcome/policy/terminate.hpp>
+#include <boost/outcome/success_failure.hpp>
+#include <boost/outcome/try.hpp>
+
+namespace Greengage {
+
+/// Either a value or the error of one layer. Reading the side that is absent ends the process, so callers test
+/// `hasValue` first or pass the error on with BOOST_OUTCOME_TRY.
+template <typename Value, typename Error>
+using Result = BOOST_OUTCOME_V2_NAMESPACE::basic_result<Value, Error, BOOST_OUTCOME_V2_NAMESPACE::policy::terminate>;
+
+using BOOST_OUTCOME_V2_NAMESPACE::failure;
+using BOOST_OUTCOME_V2_NAMESPACE::success;
+
+} // namespace Greengage
--- /dev/null
+++ b/modules/core/time/BootClock.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <chrono>
+
+namespace Greengage {
+
+/// The kernel's boot-time clock. It never steps back, and it goes on while the process is stopped and while the machine
+/// is suspended, so a deadline that passed during a pause is seen as passed on waking.
+class BootClock {
+public:
+    using rep = std::chrono::microseconds::rep;
+    using period = std::chrono::microseconds::period;
+    using duration = std::chrono::microseconds;
+    using time_point = std::chrono::time_point<BootClock, duration>;
+    static constexpr bool is_steady = true; // NOLINT(readability-identifier-naming): the standard requires the name
+
+    static time_point now();
+
+    time_point current() const { return now(); }
+};
+
+} // namespace Greengage
--- /dev/null
+++ b/modules/core/time/ManualClock.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <core/time/Instant.h>
+
+namespace Greengage {
+
+/// A virtual clock for tests and measurements. It moves only when told to.
+class ManualClock {
+public:
+    Instant current() const { return this->instant; }
+
+    void advance(Microseconds step) { this->instant += step; }
+
+private:
+    Instant instant { Seconds(1) };
+};
+
+} // namespace Greengage
