State the contracts between packages: models, messages and protocols

Cause: the packages are written side by side and must meet without reading each other's code. Conclusion: a change to one of these headers is a change to the contract and says so in its commit.

--- /dev/null
+++ b/modules/fleet/fleet.h
@@ -0,0 +1,9 @@
+// Purpose: the tables and the systems that decide: requests, limits, freshness, maintenance and placement. It knows no
+// socket, no clock and no log, so that others can embed it.
+// Dependencies: core, the document model of config, the VM records of platform.
+#pragma once
+
+#include <fleet/peers/PeerState.h>
+#include <fleet/requests/RequestInput.h>
+#include <fleet/requests/RequestOutput.h>
+#include <fleet/requests/RequestPlane.h>
--- /dev/null
+++ b/modules/fleet/peers/PeerState.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <core/text/Identifier.h>
+#include <core/time/Instant.h>
+
+#include <cstdint>
+#include <vector>
+
+namespace Greengage {
+
+/// How much work a daemon has of one team on one queue.
+struct TeamDemand {
+    QueueId queue;
+    TeamId team;
+    int running = 0;
+    int waiting = 0;
+};
+
+/// How a daemon knows of another daemon.
+struct PeerSighting {
+    IncarnationId incarnation;
+    ZoneId zone;
+    /// How long ago, when the message was made, it had been heard, directly or through others.
+    Milliseconds age {};
+};
+
+/// What a daemon tells its peers several times a second.
+struct PeerState {
+    DaemonId daemon;
+    IncarnationId incarnation;
+    ZoneId zone;
+    /// Revision of the document that it has applied.
+    std::uint64_t appliedRevision = 0;
+    /// Newest revision that it has heard of.
+    std::uint64_t knownRevision = 0;
+    /// How long ago, when the message was made, the question was sent whose answer from the store last confirmed
+    /// `knownRevision`, its own or a peer's; the largest value if never.
+    Milliseconds confirmationAge = Milliseconds::max();
+    bool shuttingDown = false;
+    std::vector<TeamDemand> demand;
+    std::vector<PeerSighting> sightings;
+};
+
+} // namespace Greengage
--- /dev/null
+++ b/modules/fleet/requests/RequestOutput.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <fleet/requests/messages/AnswerCaller.h>
+#include <fleet/requests/messages/AskRunning.h>
+#include <fleet/requests/messages/SendAttempt.h>
+#include <fleet/requests/messages/UpdateAllotments.h>
+#include <fleet/requests/messages/WriteClaim.h>
+
+#include <variant>
+
+namespace Greengage {
+
+/// Everything that the request plane can ask for.
+using RequestOutput = std::variant<SendAttempt, AnswerCaller, WriteClaim, UpdateAllotments, AskRunning>;
+
+} // namespace Greengage
--- /dev/null
+++ b/modules/fleet/requests/messages/EndpointsListed.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <core/text/Identifier.h>
+#include <platform/vms/VmRecord.h>
+
+#include <set>
+#include <vector>
+
+namespace Greengage {
+
+/// The platform's list of VMs has been read, or the maintenance ledger has changed.
+struct EndpointsListed {
+    std::vector<VmRecord> vms;
+    /// VMs that maintenance holds out of service: they get no new work.
+    std::set<VmId> draining;
+};
+
+} // namespace Greengage
--- /dev/null
+++ b/modules/fleet/requests/messages/PeerHeard.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <core/time/Instant.h>
+#include <fleet/peers/PeerState.h>
+
+namespace Greengage {
+
+/// A peer's state has arrived.
+struct PeerHeard {
+    PeerState state;
+    /// When the exchange that brought it began, by our clock: its ages count from here, so that a message that was
+    /// long under way is not taken for fresh.
+    Instant askedAt;
+};
+
+/// The membership in the store has been read: the daemons that hold a lease. Their zones are those that must be heard.
+struct MembersListed {
+    std::vector<PeerSighting> members;
+};
+
+} // namespace Greengage
--- /dev/null
+++ b/modules/fleet/requests/messages/SendAttempt.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <core/text/Identifier.h>
+#include <core/time/Deadline.h>
+
+#include <cstdint>
+#include <string>
+
+namespace Greengage {
+
+/// Send the request's body to an endpoint. The gateway checks `notAfter` once more right before the first byte and
+/// reports NotSent if it has passed.
+struct SendAttempt {
+    RequestId request;
+    int attempt = 0;
+    VmId endpoint;
+    std::string address;
+    std::uint16_t port = 0;
+    TeamId team;
+    /// Last instant at which the first byte may leave.
+    Deadline notAfter;
+    /// When the attempt counts as Silent.
+    Deadline answerBy;
+    /// Whether a new connection must be opened, rather than an idle one reused.
+    bool freshConnection = false;
+};
+
+} // namespace Greengage
--- /dev/null
+++ b/modules/platform/store/StoreClient.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <core/errors/Result.h>
+#include <core/time/Instant.h>
+#include <platform/store/StoreError.h>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+struct event_base;
+
+namespace Greengage {
+
+struct StoreEntry;
+struct StoreWrite;
+struct VmRecord;
+struct WatchResult;
+
+/// Calls the platform's key-value service and its VM list over HTTP, on the caller's event loop. Every call ends in
+/// exactly one call of its callback, never from within the call itself, and at the latest when its timeout has passed.
+/// Destroying the client drops the calls under way without calling back.
+class StoreClient {
+public:
+    /// `sourceAddress` is the local address that connections are bound to.
+    StoreClient(event_base&, std::string storeAddress, std::uint16_t storePort, std::string sourceAddress);
+    ~StoreClient();
+
+    StoreClient(const StoreClient&) = delete;
+    StoreClient& operator=(const StoreClient&) = delete;
+
+    template <typename Value> using Callback = std::function<void(Result<Value, StoreError>)>;
+
+    void read(const std::string& key, Callback<StoreEntry>);
+    /// Calls back with the key's new version.
+    void write(const StoreWrite&, Callback<std::uint64_t>);
+    /// Deletes a key at a version.
+    void erase(const std::string& key, std::uint64_t expectedVersion, Callback<bool>);
+    void list(const std::string& prefix, Callback<std::vector<StoreEntry>>);
+    /// Waits up to `wait` for a change after `afterRevision` of any key that starts with one of the prefixes.
+    void watch(const std::vector<std::string>& prefixes, std::uint64_t afterRevision, Milliseconds wait,
+        Callback<WatchResult>);
+    /// Calls back with the id of a lease that lapses `timeToLive` after the last renewal.
+    void grantLease(Milliseconds timeToLive, Callback<std::string>);
+    void renewLease(const std::string& leaseId, Callback<bool>);
+    void readVms(Callback<std::vector<VmRecord>>);
+
+private:
+    class Implementation;
+    std::unique_ptr<Implementation> implementation;
+};
+
+} // namespace Greengage
--- /dev/null
+++ b/modules/platform/store/StoreWrite.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+namespace Greengage {
+
+/// A compare-and-swap of one key.
+struct StoreWrite {
+    std::string key;
+    std::string value;
+    /// Version that the key must have; 0 if it must not exist.
+    std::uint64_t expectedVersion = 0;
+    /// Lease whose lapse deletes the key; empty for a key that stays.
+    std::string leaseId;
+};
+
+} // namespace Greengage
--- /dev/null
+++ b/modules/platform/vms/VmRecord.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <core/text/EnumNames.h>
+#include <core/text/Identifier.h>
+
+#include <cstdint>
+#include <string>
+
+namespace Greengage {
+
+/// What the platform's list says of a VM. The list lags, so a VM that it calls live may be gone.
+enum class VmState {
+    Live,
+    Leaving,
+};
+
+template <> struct EnumNames<VmState> {
+    static constexpr std::array<std::pair<VmState, std::string_view>, 2> table { {
+        { VmState::Live, "live" },
+        { VmState::Leaving, "leaving" },
+    } };
+};
+
+/// One line of the platform's list of VMs.
+struct VmRecord {
+    VmId id;
+    std::string address;
+    std::uint16_t port = 0;
+    ZoneId zone;
+    RackId rack;
+    VmState state = VmState::Live;
+};
+
+} // namespace Greengage
