Define the test module's name in one file of each test program

Cause: with two test files in a package, both brought main and the link failed (multiple definition of main). Change: BOOST_TEST_MODULE is defined for the first source only. Before: metrics_tests did not link. After: it links.

--- a/cmake/Packages.cmake
+++ b/cmake/Packages.cmake
@@ -27,8 +27,11 @@
     cmake_parse_arguments(TEST "" "" "SOURCES;DEPENDS" ${ARGN})
     add_executable(${name} ${TEST_SOURCES})
     target_compile_definitions(${name} PRIVATE
-        BOOST_TEST_DYN_LINK BOOST_TEST_MODULE=${name}
+        BOOST_TEST_DYN_LINK
         SOURCE_ROOT="${PROJECT_SOURCE_DIR}" BINARY_ROOT="${CMAKE_BINARY_DIR}")
+    # Only the file that defines the module's name brings the program's main function.
+    list(GET TEST_SOURCES 0 first)
+    set_source_files_properties(${first} PROPERTIES COMPILE_DEFINITIONS BOOST_TEST_MODULE=${name})
     target_include_directories(${name} PRIVATE ${PROJECT_SOURCE_DIR})
     target_link_libraries(${name} PRIVATE ${TEST_DEPENDS} Boost::unit_test_framework)
     set_property(GLOBAL APPEND PROPERTY GREENGAGE_TESTS ${name})
