Add the metrics package and the report on service-level burn

Cause: daemons need counts and latencies that common scrapers read, and operators a report on burnt error budgets. Ruled out: a scrape-time computation in the command line (a scrape sees totals since start, not windows); per-request records (memory grows with traffic). Conclusion: a daemon counts its own answers; the report sums the daemons' rows.

--- /dev/null
+++ b/modules/metrics/burn/BurnWindow.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <core/text/EnumNames.h>
+#include <core/time/Instant.h>
+
+namespace Greengage {
+
+/// The spans over which burn is told. A short and a long window together tell a spike from a lasting fault.
+enum class BurnWindow {
+    FiveMinutes,
+    OneHour,
+    SixHours,
+};
+
+template <> struct EnumNames<BurnWindow> {
+    static constexpr std::array<std::pair<BurnWindow, std::string_view>, 3> table { {
+        { BurnWindow::FiveMinutes, "5m" },
+        { BurnWindow::OneHour, "1h" },
+        { BurnWindow::SixHours, "6h" },
+    } };
+};
+
+constexpr std::size_t burnWindowCount = EnumNames<BurnWindow>::table.size();
+
+/// Length of a window.
+constexpr Microseconds lengthOf(BurnWindow window)
+{
+    switch (window) {
+    case BurnWindow::FiveMinutes:
+        return std::chrono::minutes(5);
+    case BurnWindow::OneHour:
+        return std::chrono::hours(1);
+    case BurnWindow::SixHours:
+        return std::chrono::hours(6);
+    }
+    return Microseconds::zero();
+}
+
+} // namespace Greengage
--- /dev/null
+++ b/modules/metrics/registry/Counter.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <cstdint>
+
+namespace Greengage {
+
+/// A count that only grows.
+class Counter {
+public:
+    void add(std::uint64_t amount = 1) { this->total += amount; }
+    std::uint64_t value() const { return this->total; }
+
+private:
+    std::uint64_t total = 0;
+};
+
+} // namespace Greengage
--- /dev/null
+++ b/modules/metrics/registry/Label.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <string>
+
+namespace Greengage {
+
+/// One label of a metric's series, such as queue="quotes".
+struct Label {
+    std::string name;
+    std::string value;
+
+    friend auto operator<=>(const Label&, const Label&) = default;
+    friend bool operator==(const Label&, const Label&) = default;
+};
+
+} // namespace Greengage
