State the contract of the maintenance plane and the codec of its ledger

Cause: waves have to be resumable by any daemon from the store alone, and the daemon has to know what it will be told to do. Ruled out: deadlines inside the ledger, since a boot clock has no meaning in another process; a reboot call without a number, since a late repetition would reboot a VM twice. Change: ledger types and JSON codec, inputs and outputs of MaintenancePlane. PeerState tells which revision of the ledger a daemon has applied and to which draining VMs it still has attempts under way; EndpointsListed carries that revision. The plane itself is not there yet. Conclusion: the daemon can be wired against these headers.

--- a/modules/fleet/fleet.h
+++ b/modules/fleet/fleet.h
@@ -3,6 +3,8 @@
 // Dependencies: core, the document model of config, the VM records of platform.
 #pragma once
 
+#include <fleet/maintenance/MaintenancePlane.h>
+#include <fleet/maintenance/ledger/MaintenanceLedger.h>
 #include <fleet/peers/PeerState.h>
 #include <fleet/requests/RequestInput.h>
 #include <fleet/requests/RequestOutput.h>
--- /dev/null
+++ b/modules/fleet/maintenance/MaintenanceOutput.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <fleet/maintenance/messages/CommandSettled.h>
+#include <fleet/maintenance/messages/MoveVm.h>
+#include <fleet/maintenance/messages/ReadLedger.h>
+#include <fleet/maintenance/messages/RebootVm.h>
+#include <fleet/maintenance/messages/UpdateLedger.h>
+#include <fleet/maintenance/messages/WaveEvent.h>
+#include <fleet/requests/messages/AskRunning.h>
+
+#include <variant>
+
+namespace Greengage {
+
+/// Everything that the maintenance plane can ask for.
+using MaintenanceOutput
+    = std::variant<ReadLedger, UpdateLedger, RebootVm, MoveVm, AskRunning, CommandSettled, WaveEvent>;
+
+} // namespace Greengage
--- /dev/null
+++ b/modules/fleet/maintenance/messages/CommandSettled.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <fleet/maintenance/messages/CommandOutcome.h>
+
+#include <string>
+
+namespace Greengage {
+
+/// Answer the operator who gave the command.
+struct CommandSettled {
+    std::string command;
+    CommandOutcome outcome = CommandOutcome::Accepted;
+};
+
+} // namespace Greengage
--- /dev/null
+++ b/modules/fleet/maintenance/messages/LedgerReadFailed.h
@@ -0,0 +1,8 @@
+#pragma once
+
+namespace Greengage {
+
+/// Our ReadLedger failed; the plane asks again later.
+struct LedgerReadFailed { };
+
+} // namespace Greengage
--- /dev/null
+++ b/modules/fleet/maintenance/messages/ReadLedger.h
@@ -0,0 +1,8 @@
+#pragma once
+
+namespace Greengage {
+
+/// Read the ledger from the store; answered with LedgerRead or LedgerReadFailed.
+struct ReadLedger { };
+
+} // namespace Greengage
--- a/modules/fleet/peers/PeerState.h
+++ b/modules/fleet/peers/PeerState.h
@@ -37,6 +37,10 @@
     /// `knownRevision`, its own or a peer's; the largest value if never.
     Milliseconds confirmationAge = Milliseconds::max();
     bool shuttingDown = false;
+    /// Revision of the maintenance ledger whose VMs out of service get no new work from it.
+    std::uint64_t appliedLedgerRevision = 0;
+    /// Those of these VMs to which it still has attempts under way.
+    std::vector<VmId> busyDrainingVms;
     std::vector<TeamDemand> demand;
     std::vector<PeerSighting> sightings;
 };
--- a/modules/fleet/requests/messages/EndpointsListed.h
+++ b/modules/fleet/requests/messages/EndpointsListed.h
@@ -3,6 +3,7 @@
 #include <core/text/Identifier.h>
 #include <platform/vms/VmRecord.h>
 
+#include <cstdint>
 #include <set>
 #include <vector>
 
@@ -13,6 +14,8 @@
     std::vector<VmRecord> vms;
     /// VMs that maintenance holds out of service: they get no new work.
     std::set<VmId> draining;
+    /// Revision of the maintenance ledger that `draining` was taken from; peers are told of it.
+    std::uint64_t ledgerRevision = 0;
 };
 
 } // namespace Greengage
