Parse the operators' document and the daemon's settings, and verify keys

Cause: daemons need a checked document, checked settings and a check of callers' keys before they can serve anything.

Change: IniParser reads INI text with inih and keeps the line of each header, key and continued value. inih cuts long lines, ignores text behind a header, reports only its first fault and takes an indented key into the value above; each of these is reported as an error here instead. DocumentParser and SettingsParser list all faults at once with section, key, line and what would be right. DocumentCodec is strict: unknown, missing, doubled and mistyped members are refused. KeyVerifier keeps one revision's keys, compares in constant time and spends a digest on unknown names too.

Ruled out: INIReader, which joins doubled keys and keeps no lines; inih's own line numbers, which Debian's build leaves out.

--- a/modules/config/config.h
+++ b/modules/config/config.h
@@ -2,6 +2,16 @@
 // Dependencies: core, inih, jsoncpp.
 #pragma once
 
+#include <config/document/DocumentCodec.h>
+#include <config/document/DocumentParser.h>
+#include <config/errors/ConfigError.h>
+#include <config/errors/ConfigErrors.h>
+#include <config/keys/GeneratedKey.h>
+#include <config/keys/KeyGenerator.h>
+#include <config/keys/KeyHolder.h>
+#include <config/keys/KeyVerifier.h>
 #include <config/model/ChangeSummary.h>
 #include <config/model/Document.h>
 #include <config/model/DocumentRecord.h>
+#include <config/settings/DaemonSettings.h>
+#include <config/settings/SettingsParser.h>
--- /dev/null
+++ b/modules/config/document/DocumentCodec.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <config/document/CodecError.h>
+#include <config/model/DocumentRecord.h>
+#include <core/errors/Result.h>
+
+#include <string>
+#include <string_view>
+
+namespace Json {
+class Value;
+}
+
+namespace Greengage {
+
+/// Turns document records into the JSON that the store, the daemons and the operators' tool exchange, and back.
+/// Decoding refuses missing, unknown and mistyped members, and a newest change of another revision.
+class DocumentCodec {
+public:
+    static std::string encode(const DocumentRecord&);
+    static Json::Value toJson(const DocumentRecord&);
+    static Result<DocumentRecord, CodecError> decode(std::string_view json);
+    static Result<DocumentRecord, CodecError> fromJson(const Json::Value&);
+};
+
+} // namespace Greengage
--- /dev/null
+++ b/modules/config/document/JsonText.cpp
@@ -0,0 +1,39 @@
+#include <config/document/JsonText.h>
+
+#include <json/reader.h>
+#include <json/writer.h>
+#include <memory>
+
+namespace Greengage {
+
+namespace {
+
+constexpr int maxNesting = 32;
+
+} // namespace
+
+Result<Json::Value, CodecError> parseJson(std::string_view text)
+{
+    Json::CharReaderBuilder builder;
+    Json::CharReaderBuilder::strictMode(&builder.settings_);
+    builder["stackLimit"] = maxNesting;
+    std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
+    Json::Value value;
+    std::string errors;
+    try {
+        if (!reader->parse(text.data(), text.data() + text.size(), &value, &errors))
+            return CodecError { "not JSON: " + errors };
+    } catch (const Json::Exception& exception) {
+        return CodecError { std::string("not JSON: ") + exception.what() };
+    }
+    return value;
+}
+
+std::string writeJson(const Json::Value& value)
+{
+    Json::StreamWriterBuilder builder;
+    builder["indentation"] = "";
+    return Json::writeString(builder, value);
+}
+
+} // namespace Greengage
--- /dev/null
+++ b/modules/config/ini/IniSection.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <config/ini/IniEntry.h>
+
+#include <string>
+#include <vector>
+
+namespace Greengage {
+
+/// One section of an INI text.
+struct IniSection {
+    /// The words between the brackets, separated by single spaces.
+    std::string header;
+    /// Line of the header, from 1.
+    int line = 0;
+    std::vector<IniEntry> entries;
+};
+
+} // namespace Greengage
--- /dev/null
+++ b/modules/config/keys/KeyVerifier.cpp
@@ -0,0 +1,48 @@
+#include <config/keys/KeyVerifier.h>
+
+#include <config/model/Document.h>
+#include <core/text/Digest.h>
+
+#include <string>
+
+namespace Greengage {
+
+namespace {
+
+/// Longest key that is looked at, in bytes, so that a caller cannot make the daemon hash long texts.
+constexpr std::size_t maxKeyBytes = 512;
+
+} // namespace
+
+KeyVerifier::KeyVerifier(const Document& document)
+{
+    for (const auto& key : document.keys)
+        this->keys.emplace(key.name, key);
+}
+
+std::optional<KeyHolder> KeyVerifier::verify(std::string_view key) const
+{
+    auto dot = key.find('.');
+    if (dot == std::string_view::npos || key.size() > maxKeyBytes)
+        return std::nullopt;
+    auto secret = key.substr(dot + 1);
+    auto found = this->keys.find(KeyId(std::string(key.substr(0, dot))));
+    if (found == this->keys.end()) {
+        // An unknown name costs the same digest as a known one.
+        KeyVerifier::matches(secret, {}, {});
+        return std::nullopt;
+    }
+    const auto& known = found->second;
+    if (!KeyVerifier::matches(secret, known.salt, known.digest))
+        return std::nullopt;
+    return KeyHolder { known.name, known.team };
+}
+
+bool KeyVerifier::matches(std::string_view secret, std::string_view salt, std::string_view digest)
+{
+    std::string salted(salt);
+    salted += secret;
+    return equalInConstantTime(sha256Hex(salted), digest);
+}
+
+} // namespace Greengage
--- /dev/null
+++ b/modules/config/settings/SettingsParser.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <config/errors/ConfigErrors.h>
+#include <config/settings/DaemonSettings.h>
+#include <core/errors/Result.h>
+
+#include <string>
+#include <string_view>
+
+namespace Greengage {
+
+/// Parses and checks the settings of a daemon. Unknown sections and keys, missing keys, wrong types and values out of
+/// range are all returned together; `ConfigErrors::describe` prints them with the file's name.
+class SettingsParser {
+public:
+    Result<DaemonSettings, ConfigErrors> parse(std::string_view text) const;
+
+    /// Reads and parses a file. A file that cannot be read, or is larger than `maxFileBytes`, is an error of line 0.
+    Result<DaemonSettings, ConfigErrors> parseFile(const std::string& path) const;
+
+    static constexpr std::size_t maxFileBytes = 64 * 1024;
+};
+
+} // namespace Greengage
--- /dev/null
+++ b/modules/config/tests/KeyTests.cpp
@@ -0,0 +1,37 @@
+#include <boost/test/unit_test.hpp>
+#include <config/config.h>
+
+#include <string>
+
+using namespace Greengage;
+
+BOOST_AUTO_TEST_SUITE(Keys)
+
+BOOST_AUTO_TEST_CASE(onlyTheShownKeyVerifies)
+{
+    auto key = KeyGenerator::generate(KeyId("desk-1"), TeamId("desk"), "operations");
+    auto text = "[team desk]\nowner = o\nworkspace = w\nshare = 1\nlimit = 4\n" + KeyGenerator::sectionText(key.stored);
+    auto document = DocumentParser().parse(text);
+    BOOST_REQUIRE(document.has_value());
+    KeyVerifier verifier(document.value());
+    auto holder = verifier.verify(key.shown);
+    BOOST_REQUIRE(holder.has_value());
+    BOOST_TEST(holder->team.string() == "desk");
+    BOOST_TEST(holder->key.string() == "desk-1");
+    auto secret = key.shown.substr(key.shown.find('.') + 1);
+    BOOST_TEST(text.find(secret) == std::string::npos);
+    for (const std::string& wrong : { std::string(), std::string("desk-1"), std::string("desk-1."), "desk-2." + secret,
+             secret, key.shown + "0", "desk-1." + key.stored.digest, "desk-1." + std::string(100'000, 'a') })
+        BOOST_TEST(!verifier.verify(wrong).has_value());
+    BOOST_TEST(!KeyVerifier().verify(key.shown).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(keysAreNeverAlike)
+{
+    auto first = KeyGenerator::generate(KeyId("k"), TeamId("t"), "o");
+    auto second = KeyGenerator::generate(KeyId("k"), TeamId("t"), "o");
+    BOOST_TEST(first.shown != second.shown);
+    BOOST_TEST(first.stored.salt != second.stored.salt);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
