Take requests from admission to an endpoint and back

The request plane had an interface and no body. Work that was sent and whose end is unknown keeps its unit and its slot until the endpoint reports it gone.

Headers that held two structs are split: one class a header.

Ruled out: freeing the unit of a broken attempt at once, since work runs on at the endpoint after the connection is lost and the limit would be passed.

Limits are per daemon for now; freshness, claims, retry budgets and shares of slots between daemons are still to come.

--- a/modules/fleet/peers/PeerState.h
+++ b/modules/fleet/peers/PeerState.h
@@ -2,28 +2,14 @@
 
 #include <core/text/Identifier.h>
 #include <core/time/Instant.h>
+#include <fleet/peers/PeerSighting.h>
+#include <fleet/peers/TeamDemand.h>
 
 #include <cstdint>
 #include <vector>
 
 namespace Greengage {
 
-/// How much work a daemon has of one team on one queue.
-struct TeamDemand {
-    QueueId queue;
-    TeamId team;
-    int running = 0;
-    int waiting = 0;
-};
-
-/// How a daemon knows of another daemon.
-struct PeerSighting {
-    IncarnationId incarnation;
-    ZoneId zone;
-    /// How long ago, when the message was made, it had been heard, directly or through others.
-    Milliseconds age {};
-};
-
 /// What a daemon tells its peers several times a second.
 struct PeerState {
     DaemonId daemon;
--- a/modules/fleet/requests/RequestInput.h
+++ b/modules/fleet/requests/RequestInput.h
@@ -1,11 +1,13 @@
 #pragma once
 
 #include <fleet/requests/messages/AllotmentsRead.h>
+#include <fleet/requests/messages/AllotmentsWriteFailed.h>
 #include <fleet/requests/messages/AttemptEnded.h>
 #include <fleet/requests/messages/CallerLeft.h>
 #include <fleet/requests/messages/ClaimSettled.h>
 #include <fleet/requests/messages/DocumentApplied.h>
 #include <fleet/requests/messages/EndpointsListed.h>
+#include <fleet/requests/messages/MembersListed.h>
 #include <fleet/requests/messages/PeerHeard.h>
 #include <fleet/requests/messages/RequestArrived.h>
 #include <fleet/requests/messages/RunningReported.h>
--- /dev/null
+++ b/modules/fleet/requests/RequestPlane.cpp
@@ -0,0 +1,89 @@
+#include <fleet/requests/RequestPlane.h>
+
+#include <fleet/requests/admission/Admission.h>
+#include <fleet/requests/attempts/Attempts.h>
+#include <fleet/requests/dispatch/Dispatch.h>
+#include <fleet/requests/dispatch/EndpointTable.h>
+#include <fleet/requests/dispatch/Expiry.h>
+#include <fleet/requests/tables/RequestTables.h>
+#include <fleet/requests/tables/Tick.h>
+
+namespace Greengage {
+
+class RequestPlane::Implementation {
+public:
+    explicit Implementation(PeerState self) { this->tables.self = std::move(self); }
+
+    std::vector<RequestOutput> tick(Instant now, const std::vector<RequestInput>& inputs)
+    {
+        std::vector<RequestOutput> outbox;
+        Tick tick { this->tables, now, outbox };
+        for (const auto& input : inputs)
+            std::visit([&](const auto& message) { take(tick, message); }, input);
+        Expiry(tick).run();
+        Attempts(tick).settleUnknown();
+        Dispatch(tick).run();
+        return outbox;
+    }
+
+    RequestTables tables;
+
+private:
+    static void take(Tick& tick, const RequestArrived& message) { Admission(tick).admit(message); }
+    static void take(Tick& tick, const CallerLeft& message) { Expiry(tick).take(message); }
+    static void take(Tick& tick, const EndpointsListed& message) { EndpointTable(tick).take(message); }
+    static void take(Tick& tick, const AttemptEnded& message) { Attempts(tick).take(message); }
+    static void take(Tick& tick, const RunningReported& message) { Attempts(tick).take(message); }
+    static void take(Tick& tick, const ShutdownRequested&) { tick.tables.shuttingDown = true; }
+
+    static void take(Tick& tick, const DocumentApplied& message)
+    {
+        auto& tables = tick.tables;
+        if (tables.document && message.document->revision <= tables.document->revision)
+            return;
+        tables.document = message.document;
+        EndpointTable(tick).assignServices();
+        Admission(tick).recheckWaiting();
+    }
+
+    static void take(Tick&, const StoreConfirmed&) { }
+    static void take(Tick&, const ClaimSettled&) { }
+    static void take(Tick&, const AllotmentsRead&) { }
+    static void take(Tick&, const AllotmentsWriteFailed&) { }
+    static void take(Tick&, const PeerHeard&) { }
+    static void take(Tick&, const MembersListed&) { }
+};
+
+RequestPlane::RequestPlane(PeerState self)
+    : implementation(std::make_unique<Implementation>(std::move(self)))
+{
+}
+
+RequestPlane::~RequestPlane() = default;
+
+std::vector<RequestOutput> RequestPlane::tick(Instant now, std::vector<RequestInput> inputs)
+{
+    return this->implementation->tick(now, inputs);
+}
+
+PeerState RequestPlane::describe(Instant) const
+{
+    const auto& tables = this->implementation->tables;
+    PeerState state = tables.self;
+    state.appliedRevision = tables.document ? tables.document->revision : 0;
+    state.knownRevision = state.appliedRevision;
+    state.shuttingDown = tables.shuttingDown;
+    for (const auto& [key, line] : tables.lines) {
+        if (line.running > 0 || line.waiting > 0)
+            state.demand.push_back(TeamDemand { key.queue, key.team, line.running, line.waiting });
+    }
+    return state;
+}
+
+bool RequestPlane::isIdle() const
+{
+    const auto& tables = this->implementation->tables;
+    return tables.shuttingDown && tables.requests.empty();
+}
+
+} // namespace Greengage
--- /dev/null
+++ b/modules/fleet/requests/admission/Admission.cpp
@@ -0,0 +1,109 @@
+#include <fleet/requests/admission/Admission.h>
+
+#include <algorithm>
+#include <fleet/requests/admission/BearerCheck.h>
+#include <fleet/requests/admission/RetryAdvice.h>
+#include <fleet/requests/messages/RequestArrived.h>
+#include <fleet/requests/tables/RequestLifecycle.h>
+#include <fleet/requests/tables/RequestTables.h>
+
+namespace Greengage {
+
+Admission::Admission(Tick& tick)
+    : tick(tick)
+{
+}
+
+void Admission::refuse(const RequestArrived& arrived, OutcomeReason reason, const TeamId& team)
+{
+    this->tick.outbox.push_back(AnswerCaller { arrived.request, Outcome::NotRun, reason, 0, retryAfter(reason), team });
+}
+
+void Admission::admit(const RequestArrived& arrived)
+{
+    const auto& tables = this->tick.tables;
+    if (tables.shuttingDown)
+        return this->refuse(arrived, OutcomeReason::ShuttingDown);
+    if (!tables.document)
+        return this->refuse(arrived, OutcomeReason::NoDocument);
+    const Queue* queue = tables.findQueue(arrived.queue);
+    if (!queue)
+        return this->refuse(arrived, OutcomeReason::UnknownQueue);
+    RequestRow row;
+    if (auto reason = this->identify(*queue, arrived, row); reason != OutcomeReason::None)
+        return this->refuse(arrived, reason);
+    row.id = arrived.request;
+    row.queue = queue->name;
+    row.service = queue->service;
+    row.priority = queue->priority;
+    row.idempotent = queue->idempotent;
+    row.idempotencyKey = arrived.idempotencyKey;
+    auto longest = Deadline::after(this->tick.now, Milliseconds(queue->maxDeadlineMilliseconds));
+    bool unbounded = arrived.deadline == Deadline::never();
+    row.deadline = unbounded ? longest : arrived.deadline;
+    if (row.deadline > longest)
+        return this->refuse(arrived, OutcomeReason::DeadlineTooLong, row.team);
+    if (auto reason = this->checkRoom(*queue, row); reason != OutcomeReason::None)
+        return this->refuse(arrived, reason, row.team);
+    RequestLifecycle(this->tick).enqueue(std::move(row));
+}
+
+OutcomeReason Admission::identify(const Queue& queue, const RequestArrived& arrived, RequestRow& row) const
+{
+    const auto& tables = this->tick.tables;
+    if (queue.access == QueueAccess::Open) {
+        TeamId owner(queue.owner);
+        if (tables.findTeam(owner))
+            row.team = owner;
+        return OutcomeReason::None;
+    }
+    if (arrived.bearer.empty())
+        return OutcomeReason::KeyMissing;
+    const AccessKey* key = findShownKey(*tables.document, arrived.bearer);
+    if (!key)
+        return OutcomeReason::KeyInvalid;
+    row.key = key->name;
+    row.team = key->team;
+    return OutcomeReason::None;
+}
+
+OutcomeReason Admission::checkRoom(const Queue& queue, const RequestRow& row) const
+{
+    const auto& tables = this->tick.tables;
+    if (row.deadline.hasPassed(this->tick.now))
+        return OutcomeReason::DeadlinePassed;
+    const Team* team = tables.findTeam(row.team);
+    if (team && team->limit == 0)
+        return OutcomeReason::LimitReached;
+    auto line = tables.lines.find(WorkLineKey { row.queue, row.team });
+    if (line != tables.lines.end() && line->second.waiting >= queue.maxWaitingPerTeam)
+        return OutcomeReason::QueueFull;
+    return OutcomeReason::None;
+}
+
+OutcomeReason Admission::recheck(const RequestRow& row) const
+{
+    const auto& tables = this->tick.tables;
+    const Queue* queue = tables.findQueue(row.queue);
+    if (!queue || queue->service != row.service)
+        return OutcomeReason::UnknownQueue;
+    if (queue->access == QueueAccess::Open)
+        return OutcomeReason::None;
+    const auto& keys = tables.document->keys;
+    bool keyStands = std::any_of(
+        keys.begin(), keys.end(), [&](const AccessKey& key) { return key.name == row.key && key.team == row.team; });
+    return keyStands ? OutcomeReason::None : OutcomeReason::KeyInvalid;
+}
+
+void Admission::recheckWaiting()
+{
+    auto& requests = this->tick.tables.requests;
+    for (auto next = requests.begin(); next != requests.end();) {
+        auto& row = (next++)->second;
+        auto reason = row.stage == RequestStage::Waiting ? this->recheck(row) : OutcomeReason::None;
+        if (reason != OutcomeReason::None)
+            RequestLifecycle(this->tick).refuse(row, reason);
+    }
+}
+
+} // namespace Greengage
--- /dev/null
+++ b/modules/fleet/requests/attempts/Attempts.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <fleet/requests/messages/AttemptEnded.h>
+#include <fleet/requests/tables/Tick.h>
+
+namespace Greengage {
+
+struct RequestRow;
+struct RunningReported;
+
+/// Takes the ends of attempts: passes answers on, tries another endpoint where that is allowed, and keeps the unit and
+/// the slot of work whose end is not known until its endpoint reports it gone.
+class Attempts {
+public:
+    explicit Attempts(Tick&);
+
+    void take(const AttemptEnded&);
+    void take(const RunningReported&);
+    /// Frees unknown work at endpoints that are no longer listed, and asks the others about theirs.
+    void settleUnknown();
+
+private:
+    void retryUnsent(RequestRow&, OutcomeReason);
+    void afterLoss(RequestRow&, OutcomeReason);
+
+    Tick& tick;
+};
+
+} // namespace Greengage
--- /dev/null
+++ b/modules/fleet/requests/dispatch/Dispatch.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <core/text/Identifier.h>
+#include <fleet/requests/tables/Tick.h>
+
+#include <set>
+
+namespace Greengage {
+
+struct EndpointRow;
+struct RequestRow;
+struct WorkLine;
+struct WorkLineKey;
+
+/// Starts waiting requests while their team has a free unit of its limit and an endpoint has a free slot. The most
+/// urgent work goes first; within a priority the team that runs least for its share.
+class Dispatch {
+public:
+    explicit Dispatch(Tick&);
+
+    void run();
+
+private:
+    /// Starts at most one request of the best line; false if nothing can be started.
+    bool startNext();
+    /// The request at the front of a line, after dropping ids that no longer wait; null if the line is empty.
+    RequestRow* frontOf(WorkLine&) const;
+    bool hasFreeUnit(const TeamId&) const;
+    bool goesBefore(const WorkLineKey&, const RequestRow&, const WorkLineKey& otherKey, const RequestRow& other) const;
+    double loadOf(const WorkLineKey&) const;
+    void begin(WorkLine&, RequestRow&, EndpointRow&);
+    void send(RequestRow&, const EndpointRow&);
+
+    Tick& tick;
+    /// Lines whose front cannot be started in this tick.
+    std::set<const WorkLine*> blocked;
+};
+
+} // namespace Greengage
--- /dev/null
+++ b/modules/fleet/requests/dispatch/EndpointTable.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <fleet/requests/tables/Tick.h>
+
+namespace Greengage {
+
+struct EndpointsListed;
+
+/// Keeps the table of endpoints in step with the platform's list of VMs and the pools of the document.
+class EndpointTable {
+public:
+    explicit EndpointTable(Tick&);
+
+    void take(const EndpointsListed&);
+    /// Assigns services to endpoints after a new document.
+    void assignServices();
+
+private:
+    Tick& tick;
+};
+
+} // namespace Greengage
--- /dev/null
+++ b/modules/fleet/requests/dispatch/Expiry.cpp
@@ -0,0 +1,51 @@
+#include <fleet/requests/dispatch/Expiry.h>
+
+#include <fleet/requests/messages/CallerLeft.h>
+#include <fleet/requests/tables/RequestLifecycle.h>
+#include <fleet/requests/tables/RequestTables.h>
+
+namespace Greengage {
+
+Expiry::Expiry(Tick& tick)
+    : tick(tick)
+{
+}
+
+void Expiry::take(const CallerLeft& left)
+{
+    auto& requests = this->tick.tables.requests;
+    auto found = requests.find(left.request);
+    if (found == requests.end())
+        return;
+    auto& row = found->second;
+    row.callerLeft = true;
+    if (row.stage == RequestStage::Waiting)
+        RequestLifecycle(this->tick).refuse(row, OutcomeReason::None);
+}
+
+void Expiry::run()
+{
+    auto& tables = this->tick.tables;
+    while (!tables.deadlines.empty() && tables.deadlines.begin()->first <= this->tick.now) {
+        auto id = tables.deadlines.begin()->second;
+        tables.deadlines.erase(tables.deadlines.begin());
+        auto found = tables.requests.find(id);
+        if (found != tables.requests.end() && found->second.stage == RequestStage::Waiting)
+            RequestLifecycle(this->tick).refuse(found->second, this->reasonFor(found->second));
+    }
+}
+
+OutcomeReason Expiry::reasonFor(const RequestRow& row) const
+{
+    const auto& tables = this->tick.tables;
+    const Team* team = tables.findTeam(row.team);
+    if (team && tables.runningOf(row.team) >= team->limit)
+        return OutcomeReason::LimitReached;
+    for (const auto& [id, endpoint] : tables.endpoints) {
+        if (endpoint.open && endpoint.service == row.service)
+            return OutcomeReason::DeadlinePassed;
+    }
+    return OutcomeReason::NoEndpoint;
+}
+
+} // namespace Greengage
--- a/modules/fleet/requests/messages/AllotmentsRead.h
+++ b/modules/fleet/requests/messages/AllotmentsRead.h
@@ -14,9 +14,4 @@
     bool ownWrite = false;
 };
 
-/// Our UpdateAllotments failed. With `mayHaveTakenEffect` it counts as made until the value has been read again.
-struct AllotmentsWriteFailed {
-    bool mayHaveTakenEffect = false;
-};
-
 } // namespace Greengage
--- a/modules/fleet/requests/messages/PeerHeard.h
+++ b/modules/fleet/requests/messages/PeerHeard.h
@@ -13,9 +13,4 @@
     Instant askedAt;
 };
 
-/// The membership in the store has been read: the daemons that hold a lease. Their zones are those that must be heard.
-struct MembersListed {
-    std::vector<PeerSighting> members;
-};
-
 } // namespace Greengage
--- a/modules/fleet/requests/messages/RunningReported.h
+++ b/modules/fleet/requests/messages/RunningReported.h
@@ -2,19 +2,12 @@
 
 #include <core/text/Identifier.h>
 #include <core/time/Instant.h>
+#include <fleet/requests/messages/RunningWork.h>
 
-#include <string>
 #include <vector>
 
 namespace Greengage {
 
-/// One piece of work that an endpoint says is running.
-struct RunningWork {
-    RequestId request;
-    TeamId team;
-    IncarnationId incarnation;
-};
-
 /// An endpoint has answered what it is running.
 struct RunningReported {
     VmId endpoint;
--- /dev/null
+++ b/modules/fleet/requests/tables/RequestLifecycle.cpp
@@ -0,0 +1,96 @@
+#include <fleet/requests/tables/RequestLifecycle.h>
+
+#include <core/checks/Assertion.h>
+#include <fleet/requests/admission/RetryAdvice.h>
+#include <fleet/requests/tables/RequestTables.h>
+
+namespace Greengage {
+
+namespace {
+
+/// How long bytes of a broken attempt may still be under way to the endpoint.
+constexpr Milliseconds settlementDelay { 1000 };
+
+} // namespace
+
+RequestLifecycle::RequestLifecycle(Tick& tick)
+    : tick(tick)
+{
+}
+
+WorkLine& RequestLifecycle::lineOf(const RequestRow& row)
+{
+    return this->tick.tables.lines[WorkLineKey { row.queue, row.team }];
+}
+
+void RequestLifecycle::enqueue(RequestRow row)
+{
+    auto& line = this->lineOf(row);
+    line.order.push_back(row.id);
+    line.waiting += 1;
+    this->tick.tables.deadlines.emplace(row.deadline.at(), row.id);
+    auto id = row.id;
+    bool added = this->tick.tables.requests.emplace(id, std::move(row)).second;
+    assertInvariant(added, "request ids are unique");
+}
+
+void RequestLifecycle::requeue(RequestRow& row)
+{
+    row.stage = RequestStage::Waiting;
+    row.endpoint = VmId();
+    auto& line = this->lineOf(row);
+    line.order.push_front(row.id);
+    line.waiting += 1;
+}
+
+void RequestLifecycle::start(RequestRow& row, const VmId& endpoint)
+{
+    auto& line = this->lineOf(row);
+    line.waiting -= 1;
+    line.running += 1;
+    row.stage = RequestStage::Sent;
+    row.endpoint = endpoint;
+    this->tick.tables.endpoints.at(endpoint).running += 1;
+}
+
+void RequestLifecycle::release(const RequestRow& row)
+{
+    this->release(WorkLineKey { row.queue, row.team }, row.endpoint);
+}
+
+void RequestLifecycle::release(const UnknownWork& work) { this->release(work.line, work.endpoint); }
+
+void RequestLifecycle::release(const WorkLineKey& key, const VmId& endpoint)
+{
+    auto& line = this->tick.tables.lines[key];
+    assertInvariant(line.running > 0, "a released unit was in use");
+    line.running -= 1;
+    auto found = this->tick.tables.endpoints.find(endpoint);
+    if (found == this->tick.tables.endpoints.end())
+        return;
+    assertInvariant(found->second.running > 0, "a released slot was in use");
+    found->second.running -= 1;
+}
+
+void RequestLifecycle::holdAsUnknown(RequestRow& row)
+{
+    row.mayHaveRun = true;
+    this->tick.tables.unknownWork.push_back(
+        UnknownWork { row.id, WorkLineKey { row.queue, row.team }, row.endpoint, this->tick.now + settlementDelay });
+}
+
+void RequestLifecycle::refuse(RequestRow& row, OutcomeReason reason)
+{
+    this->finish(row, row.mayHaveRun ? Outcome::Unknown : Outcome::NotRun, reason, retryAfter(reason));
+}
+
+void RequestLifecycle::finish(RequestRow& row, Outcome outcome, OutcomeReason reason, Milliseconds retryAfter)
+{
+    if (row.stage == RequestStage::Waiting)
+        this->lineOf(row).waiting -= 1;
+    if (!row.callerLeft)
+        this->tick.outbox.push_back(AnswerCaller { row.id, outcome, reason, row.attempts, retryAfter, row.team });
+    this->tick.tables.requests.erase(RequestId(row.id));
+}
+
+} // namespace Greengage
--- /dev/null
+++ b/modules/fleet/requests/tables/UnknownWork.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <core/text/Identifier.h>
+#include <core/time/Instant.h>
+#include <fleet/requests/tables/WorkLineKey.h>
+
+namespace Greengage {
+
+/// An attempt that was sent and whose end is not known. It keeps its unit of the team's limit and its slot until the
+/// endpoint reports that it does not run the request.
+struct UnknownWork {
+    RequestId request;
+    WorkLineKey line;
+    VmId endpoint;
+    /// A report counts if it was asked for after this instant, so that bytes still under way have arrived.
+    Instant settlesAfter;
+};
+
+} // namespace Greengage
