Add the platform's client and the store and minion stand-ins

Cause: nothing could call the platform's store, and no test had a store or an endpoint to talk to.

Change: StoreClient on an HTTP client for the event loop. Each exchange has one timeout; a connection is kept only after a whole response; an observer on the connection's output buffer tells whether a byte can have left, so a failure is NotSent or AnswerLost. Stand-ins for the store (compare-and-swap, leases, watches, lagging VM list, call counts, outages, delay, lost write answers, cut source prefixes) and for endpoints (slots, connections, freeze, silent connections, truncated and late answers, death mid-answer, history).

Ruled out: reading "sent" from evhttp's error codes, which do not tell a timeout while connecting from one while waiting.

Seen failing: with the output observer switched off 5 cases of standins_tests fail (lost, silent, cut, truncated, silent connection); with the slot check off refusesWhenItsSlotsAreFull fails.

--- /dev/null
+++ b/modules/platform/http/HttpConnection.cpp
@@ -0,0 +1,50 @@
+#include <platform/http/HttpConnection.h>
+
+#include <core/checks/Assertion.h>
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/http.h>
+
+namespace Greengage {
+
+namespace {
+
+constexpr ev_ssize_t maxHeaderBytes = 64 * 1024;
+constexpr ev_ssize_t maxBodyBytes = 16 * 1024 * 1024;
+
+} // namespace
+
+HttpConnection::HttpConnection(
+    event_base& base, const std::string& sourceAddress, std::string address, std::uint16_t port)
+    : address(std::move(address))
+    , port(port)
+    , connection(evhttp_connection_base_new(&base, nullptr, this->address.c_str(), port))
+{
+    assertInvariant(this->connection, "evhttp makes a connection object");
+    evhttp_connection_set_local_address(this->connection, sourceAddress.c_str());
+    evhttp_connection_set_max_headers_size(this->connection, maxHeaderBytes);
+    evhttp_connection_set_max_body_size(this->connection, maxBodyBytes);
+    auto* output = bufferevent_get_output(evhttp_connection_get_bufferevent(this->connection));
+    this->outputObserver = evbuffer_add_cb(output, outputChanged, this);
+}
+
+HttpConnection::~HttpConnection()
+{
+    auto* output = bufferevent_get_output(evhttp_connection_get_bufferevent(this->connection));
+    evbuffer_remove_cb_entry(output, this->outputObserver);
+    evhttp_connection_free(this->connection);
+}
+
+bool HttpConnection::leadsTo(const std::string& otherAddress, std::uint16_t otherPort) const
+{
+    return this->port == otherPort && this->address == otherAddress;
+}
+
+void HttpConnection::outputChanged(evbuffer*, const evbuffer_cb_info* info, void* context)
+{
+    if (info->n_deleted > 0)
+        static_cast<HttpConnection*>(context)->written = true;
+}
+
+} // namespace Greengage
--- /dev/null
+++ b/modules/platform/http/HttpConnection.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+
+struct evbuffer;
+struct evbuffer_cb_entry;
+struct evbuffer_cb_info;
+struct event_base;
+struct evhttp_connection;
+
+namespace Greengage {
+
+/// An evhttp client connection that notes whether any byte of the current request has been written to its socket.
+class HttpConnection {
+public:
+    HttpConnection(event_base&, const std::string& sourceAddress, std::string address, std::uint16_t port);
+    ~HttpConnection();
+
+    HttpConnection(const HttpConnection&) = delete;
+    HttpConnection& operator=(const HttpConnection&) = delete;
+
+    evhttp_connection* handle() const { return this->connection; }
+    bool leadsTo(const std::string& otherAddress, std::uint16_t otherPort) const;
+
+    /// Forgets what has been written for earlier requests.
+    void startRequest() { this->written = false; }
+    bool hasWritten() const { return this->written; }
+
+private:
+    static void outputChanged(evbuffer*, const evbuffer_cb_info*, void*);
+
+    std::string address;
+    std::uint16_t port;
+    evhttp_connection* connection;
+    evbuffer_cb_entry* outputObserver;
+    bool written = false;
+};
+
+} // namespace Greengage
--- /dev/null
+++ b/modules/platform/http/HttpExchange.cpp
@@ -0,0 +1,120 @@
+#include <platform/http/HttpExchange.h>
+
+#include <core/checks/Assertion.h>
+#include <platform/http/HttpConnection.h>
+
+#include <algorithm>
+#include <event2/buffer.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+#include <string_view>
+#include <sys/time.h>
+
+namespace Greengage {
+
+namespace {
+
+timeval toTimeval(Milliseconds span)
+{
+    auto seconds = std::chrono::duration_cast<Seconds>(span);
+    return { seconds.count(), std::chrono::duration_cast<Microseconds>(span - seconds).count() };
+}
+
+std::string takeBody(evhttp_request* request)
+{
+    auto* buffer = evhttp_request_get_input_buffer(request);
+    std::string body(evbuffer_get_length(buffer), '\0');
+    evbuffer_remove(buffer, body.data(), body.size());
+    return body;
+}
+
+HttpAnswer toAnswer(evhttp_request* request)
+{
+    HttpAnswer answer;
+    answer.status = evhttp_request_get_response_code(request);
+    auto* fields = evhttp_request_get_input_headers(request);
+    for (auto* field = fields->tqh_first; field; field = field->next.tqe_next)
+        answer.headers.push_back({ field->key, field->value });
+    answer.body = takeBody(request);
+    return answer;
+}
+
+bool closesConnection(const HttpAnswer& answer)
+{
+    std::string value(answer.header("Connection"));
+    std::transform(value.begin(), value.end(), value.begin(), [](unsigned char c) { return std::tolower(c); });
+    return value == "close";
+}
+
+} // namespace
+
+HttpExchange::HttpExchange(event_base& base, std::unique_ptr<HttpConnection> connection, Finished finished)
+    : connection(std::move(connection))
+    , finished(std::move(finished))
+    , timer(event_new(&base, -1, 0, timerFired, this))
+{
+    assertInvariant(this->timer, "libevent makes a timer");
+}
+
+HttpExchange::~HttpExchange() { event_free(this->timer); }
+
+void HttpExchange::start(const HttpCall& call)
+{
+    auto limit = toTimeval(call.timeout);
+    event_add(this->timer, &limit);
+    this->connection->startRequest();
+    auto* request = evhttp_request_new(responded, this);
+    auto* fields = evhttp_request_get_output_headers(request);
+    bool valid = evhttp_add_header(fields, "Host", call.address.c_str()) == 0;
+    for (const auto& field : call.headers)
+        valid = evhttp_add_header(fields, field.name.c_str(), field.value.c_str()) == 0 && valid;
+    if (!valid) {
+        evhttp_request_free(request);
+        this->fail("header not valid");
+        return;
+    }
+    evbuffer_add(evhttp_request_get_output_buffer(request), call.body.data(), call.body.size());
+    auto method = call.post || !call.body.empty() ? EVHTTP_REQ_POST : EVHTTP_REQ_GET;
+    if (evhttp_make_request(this->connection->handle(), request, method, call.path.c_str()) != 0)
+        this->fail("cannot connect");
+}
+
+std::unique_ptr<HttpConnection> HttpExchange::takeReusableConnection()
+{
+    return this->reusable ? std::move(this->connection) : nullptr;
+}
+
+void HttpExchange::responded(evhttp_request* request, void* context)
+{
+    auto& exchange = *static_cast<HttpExchange*>(context);
+    if (!request || evhttp_request_get_response_code(request) == 0) {
+        exchange.fail("connection broken");
+        return;
+    }
+    auto answer = toAnswer(request);
+    exchange.reusable = !closesConnection(answer);
+    exchange.settle(std::move(answer));
+}
+
+void HttpExchange::timerFired(int, short, void* context)
+{
+    auto& exchange = *static_cast<HttpExchange*>(context);
+    if (!exchange.outcome)
+        exchange.outcome = HttpFailure { exchange.connection->hasWritten(), "timed out" };
+    auto finished = std::move(exchange.finished);
+    finished(exchange);
+}
+
+void HttpExchange::settle(Outcome result)
+{
+    if (this->outcome)
+        return;
+    this->outcome = std::move(result);
+    // evhttp still uses the connection after its callback returns, so the end is reported from the loop.
+    event_active(this->timer, EV_TIMEOUT, 0);
+}
+
+void HttpExchange::fail(const char* detail) { this->settle(HttpFailure { this->connection->hasWritten(), detail }); }
+
+} // namespace Greengage
--- a/modules/platform/platform.h
+++ b/modules/platform/platform.h
@@ -1,7 +1,11 @@
-// Purpose: the client of the platform's key-value store and of its list of VMs.
+// Purpose: the client of the platform's key-value store and of its list of VMs, on an HTTP client for the event loop.
 // Dependencies: core, libevent, jsoncpp.
 #pragma once
 
+#include <platform/http/HttpAnswer.h>
+#include <platform/http/HttpCall.h>
+#include <platform/http/HttpClient.h>
+#include <platform/http/HttpFailure.h>
 #include <platform/store/StoreClient.h>
 #include <platform/store/StoreEntry.h>
 #include <platform/store/StoreError.h>
--- /dev/null
+++ b/modules/platform/store/StoreAnswers.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <core/errors/Result.h>
+#include <json/forwards.h>
+#include <platform/store/StoreError.h>
+
+#include <string>
+#include <vector>
+
+namespace Greengage {
+
+struct HttpAnswer;
+struct StoreEntry;
+struct VmRecord;
+struct WatchResult;
+
+/// Reads the store's JSON answers. Whatever does not have the agreed shape is Malformed.
+namespace StoreAnswers {
+
+/// The JSON object of a response with status 200.
+Result<Json::Value, StoreError> parse(const HttpAnswer&);
+
+Result<StoreEntry, StoreError> toEntry(const Json::Value&, const std::string& key);
+/// The version that a write or an erase made.
+Result<std::uint64_t, StoreError> toVersion(const Json::Value&);
+Result<std::vector<StoreEntry>, StoreError> toEntries(const Json::Value&);
+Result<WatchResult, StoreError> toWatchResult(const Json::Value&);
+Result<std::string, StoreError> toLeaseId(const Json::Value&);
+Result<bool, StoreError> toRenewed(const Json::Value&);
+Result<std::vector<VmRecord>, StoreError> toVms(const Json::Value&);
+
+} // namespace StoreAnswers
+
+} // namespace Greengage
--- /dev/null
+++ b/modules/platform/store/StoreClient.cpp
@@ -0,0 +1,161 @@
+#include <platform/store/StoreClient.h>
+
+#include <platform/http/HttpClient.h>
+#include <platform/store/StoreAnswers.h>
+#include <platform/store/StoreEntry.h>
+#include <platform/store/StoreWrite.h>
+#include <platform/store/WatchResult.h>
+#include <platform/vms/VmRecord.h>
+
+#include <json/json.h>
+
+namespace Greengage {
+
+namespace {
+
+constexpr Milliseconds callTimeout { 2000 };
+
+std::string toText(const Json::Value& json)
+{
+    Json::StreamWriterBuilder builder;
+    builder["indentation"] = "";
+    return Json::writeString(builder, json);
+}
+
+StoreError translate(const HttpFailure& failure)
+{
+    auto code = failure.mayHaveBeenSent ? StoreErrorCode::AnswerLost : StoreErrorCode::NotSent;
+    return { code, 0, failure.detail };
+}
+
+} // namespace
+
+class StoreClient::Implementation {
+public:
+    Implementation(event_base& base, std::string address, std::uint16_t port, std::string sourceAddress)
+        : address(std::move(address))
+        , port(port)
+        , client(base, std::move(sourceAddress))
+    {
+    }
+
+    HttpCall call(std::string path, std::string body, Milliseconds timeout = callTimeout) const
+    {
+        HttpCall made;
+        made.address = this->address;
+        made.port = this->port;
+        made.path = std::move(path);
+        made.body = std::move(body);
+        made.timeout = timeout;
+        return made;
+    }
+
+    /// Sends a call and hands its answer, read by `convert`, to the callback.
+    template <typename Value, typename Convert>
+    void send(const HttpCall& made, Convert convert, Callback<Value> callback)
+    {
+        this->client.send(made, [convert, callback = std::move(callback)](Result<HttpAnswer, HttpFailure> outcome) {
+            if (!outcome) {
+                callback(translate(outcome.error()));
+                return;
+            }
+            auto json = StoreAnswers::parse(outcome.value());
+            if (!json)
+                callback(json.error());
+            else
+                callback(convert(json.value()));
+        });
+    }
+
+    template <typename Value, typename Convert>
+    void post(std::string path, const Json::Value& json, Convert convert, Callback<Value> callback)
+    {
+        this->send<Value>(this->call(std::move(path), toText(json)), convert, std::move(callback));
+    }
+
+private:
+    std::string address;
+    std::uint16_t port;
+    HttpClient client;
+};
+
+StoreClient::StoreClient(event_base& base, std::string storeAddress, std::uint16_t storePort, std::string sourceAddress)
+    : implementation(
+        std::make_unique<Implementation>(base, std::move(storeAddress), storePort, std::move(sourceAddress)))
+{
+}
+
+StoreClient::~StoreClient() = default;
+
+void StoreClient::read(const std::string& key, Callback<StoreEntry> callback)
+{
+    Json::Value json;
+    json["key"] = key;
+    auto convert = [key](const Json::Value& answer) { return StoreAnswers::toEntry(answer, key); };
+    this->implementation->post<StoreEntry>("/v1/read", json, convert, std::move(callback));
+}
+
+void StoreClient::write(const StoreWrite& write, Callback<std::uint64_t> callback)
+{
+    Json::Value json;
+    json["key"] = write.key;
+    json["value"] = write.value;
+    json["expectedVersion"] = Json::UInt64(write.expectedVersion);
+    if (!write.leaseId.empty())
+        json["leaseId"] = write.leaseId;
+    this->implementation->post<std::uint64_t>("/v1/write", json, StoreAnswers::toVersion, std::move(callback));
+}
+
+void StoreClient::erase(const std::string& key, std::uint64_t expectedVersion, Callback<bool> callback)
+{
+    Json::Value json;
+    json["key"] = key;
+    json["expectedVersion"] = Json::UInt64(expectedVersion);
+    auto convert = [](const Json::Value& answer) -> Result<bool, StoreError> {
+        BOOST_OUTCOME_TRY(StoreAnswers::toVersion(answer));
+        return true;
+    };
+    this->implementation->post<bool>("/v1/erase", json, convert, std::move(callback));
+}
+
+void StoreClient::list(const std::string& prefix, Callback<std::vector<StoreEntry>> callback)
+{
+    Json::Value json;
+    json["prefix"] = prefix;
+    this->implementation->post<std::vector<StoreEntry>>("/v1/list", json, StoreAnswers::toEntries, std::move(callback));
+}
+
+void StoreClient::watch(const std::vector<std::string>& prefixes, std::uint64_t afterRevision, Milliseconds wait,
+    Callback<WatchResult> callback)
+{
+    Json::Value json;
+    json["prefixes"] = Json::arrayValue;
+    for (const auto& prefix : prefixes)
+        json["prefixes"].append(prefix);
+    json["afterRevision"] = Json::UInt64(afterRevision);
+    json["waitMs"] = Json::Int64(wait.count());
+    auto call = this->implementation->call("/v1/watch", toText(json), wait + callTimeout);
+    this->implementation->send<WatchResult>(call, StoreAnswers::toWatchResult, std::move(callback));
+}
+
+void StoreClient::grantLease(Milliseconds timeToLive, Callback<std::string> callback)
+{
+    Json::Value json;
+    json["ttlMs"] = Json::Int64(timeToLive.count());
+    this->implementation->post<std::string>("/v1/lease/grant", json, StoreAnswers::toLeaseId, std::move(callback));
+}
+
+void StoreClient::renewLease(const std::string& leaseId, Callback<bool> callback)
+{
+    Json::Value json;
+    json["leaseId"] = leaseId;
+    this->implementation->post<bool>("/v1/lease/renew", json, StoreAnswers::toRenewed, std::move(callback));
+}
+
+void StoreClient::readVms(Callback<std::vector<VmRecord>> callback)
+{
+    auto call = this->implementation->call("/v1/vms", "");
+    this->implementation->send<std::vector<VmRecord>>(call, StoreAnswers::toVms, std::move(callback));
+}
+
+} // namespace Greengage
--- a/modules/platform/store/StoreClient.h
+++ b/modules/platform/store/StoreClient.h
@@ -33,18 +33,22 @@
 
     template <typename Value> using Callback = std::function<void(Result<Value, StoreError>)>;
 
+    /// Calls back with the key's value and version, or with NotFound.
     void read(const std::string& key, Callback<StoreEntry>);
     /// Calls back with the key's new version.
     void write(const StoreWrite&, Callback<std::uint64_t>);
     /// Deletes a key at a version.
     void erase(const std::string& key, std::uint64_t expectedVersion, Callback<bool>);
+    /// Calls back with every key that starts with the prefix.
     void list(const std::string& prefix, Callback<std::vector<StoreEntry>>);
     /// Waits up to `wait` for a change after `afterRevision` of any key that starts with one of the prefixes.
     void watch(const std::vector<std::string>& prefixes, std::uint64_t afterRevision, Milliseconds wait,
         Callback<WatchResult>);
     /// Calls back with the id of a lease that lapses `timeToLive` after the last renewal.
     void grantLease(Milliseconds timeToLive, Callback<std::string>);
+    /// Calls back with true, or with LeaseLapsed if the lease is no more.
     void renewLease(const std::string& leaseId, Callback<bool>);
+    /// Calls back with the platform's list of VMs, which lags behind the VMs themselves.
     void readVms(Callback<std::vector<VmRecord>>);
 
 private:
--- /dev/null
+++ b/tests/standins/common/HttpReplies.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <json/forwards.h>
+
+#include <string>
+
+struct evhttp_request;
+
+namespace Greengage {
+
+class Loop;
+
+/// Helpers for handlers of evhttp requests.
+namespace HttpReplies {
+
+std::string body(evhttp_request*);
+std::string path(evhttp_request*);
+std::string peerAddress(evhttp_request*);
+/// The value of a header of the request; empty if there is none.
+std::string header(evhttp_request*, const char* name);
+
+void json(evhttp_request*, const Json::Value&);
+void text(evhttp_request*, int status, const std::string& body);
+
+/// Closes the request's connection without an answer, from the loop. The request must not be used any more.
+void closeSilently(Loop&, evhttp_request*);
+
+/// Announces an answer of the whole length, sends only its first bytes, and closes the connection.
+void truncated(Loop&, evhttp_request*, const std::string& requestId, const std::string& body, std::size_t sentBytes);
+
+} // namespace HttpReplies
+
+} // namespace Greengage
--- /dev/null
+++ b/tests/standins/minion/MinionProcess.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <standins/common/HistoryFile.h>
+#include <standins/common/HttpService.h>
+#include <standins/minion/Endpoint.h>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace Greengage {
+
+class Loop;
+
+/// The endpoints of one process, and the address that controls them.
+class MinionProcess {
+public:
+    MinionProcess(Loop&, const std::string& controlAddress, std::uint16_t controlPort, const std::string& historyPath,
+        const std::vector<EndpointSettings>&);
+
+    /// Tells whether all addresses could be bound.
+    bool start();
+
+private:
+    /// POST /control {"vm": id or "*", settings of Endpoint::applyControl}; GET /control/state.
+    void handleControl(evhttp_request*);
+
+    HistoryFile history;
+    std::vector<std::unique_ptr<Endpoint>> endpoints;
+    HttpService control;
+};
+
+} // namespace Greengage
--- /dev/null
+++ b/tests/standins/store/StoreState.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <core/time/Deadline.h>
+#include <platform/store/StoreEntry.h>
+#include <platform/store/StoreWrite.h>
+#include <platform/store/WatchResult.h>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Greengage {
+
+/// The tables of a key-value store with compare-and-swap and leases, held in memory. Every method first removes what
+/// lapsed before `now`.
+class StoreState {
+public:
+    enum class WriteResult {
+        Written,
+        VersionDiffers,
+        LeaseLapsed,
+    };
+
+    std::optional<StoreEntry> read(const std::string& key, Instant now);
+    WriteResult write(const StoreWrite&, Instant now);
+    WriteResult erase(const std::string& key, std::uint64_t expectedVersion, Instant now);
+    std::vector<StoreEntry> list(const std::string& prefix, Instant now);
+
+    /// What changed after the revision among the keys that start with one of the prefixes.
+    WatchResult changes(const std::vector<std::string>& prefixes, std::uint64_t afterRevision, Instant now);
+
+    std::string grantLease(Milliseconds timeToLive, Instant now);
+    bool renewLease(const std::string& leaseId, Instant now);
+    bool revokeLease(const std::string& leaseId, Instant now);
+
+    /// The version that the key has, 0 if it does not exist.
+    std::uint64_t currentVersion(const std::string& key) const;
+    std::uint64_t revision() const { return this->storeRevision; }
+
+    /// Removes the leases that have lapsed, and their keys.
+    void expire(Instant now);
+
+private:
+    struct Record {
+        std::string value;
+        std::string leaseId;
+        std::uint64_t version = 0;
+        std::uint64_t changedAt = 0;
+        bool exists = false;
+    };
+
+    struct Lease {
+        Milliseconds timeToLive;
+        Deadline deadline;
+    };
+
+    void remove(Record&);
+    void removeKeysOf(const std::string& leaseId);
+
+    std::map<std::string, Record> records;
+    std::map<std::string, Lease> leases;
+    std::uint64_t storeRevision = 0;
+    std::uint64_t lastLease = 0;
+};
+
+} // namespace Greengage
