Refuse keyed work while the configuration may be out of date

A daemon that had lost the store went on taking work under keys that might have been withdrawn. Keyed work now needs a confirmation from the store, own or passed on by a peer with its age, within 3 s of the question; without any, a daemon of every other availability zone must have been heard within 3 s, directly or through sightings. A newer revision that has been heard of ends the permission until it is applied. The permission is checked on arrival and at dispatch, and bounds the instant at which the first byte may leave.

A daemon that has never read the membership takes the zones from its peers' sightings.

--- a/modules/fleet/requests/RequestPlane.cpp
+++ b/modules/fleet/requests/RequestPlane.cpp
@@ -5,6 +5,7 @@
 #include <fleet/requests/dispatch/Dispatch.h>
 #include <fleet/requests/dispatch/EndpointTable.h>
 #include <fleet/requests/dispatch/Expiry.h>
+#include <fleet/requests/freshness/FreshnessFence.h>
 #include <fleet/requests/tables/RequestTables.h>
 #include <fleet/requests/tables/Tick.h>
 
@@ -46,12 +47,12 @@
         Admission(tick).recheckWaiting();
     }
 
-    static void take(Tick&, const StoreConfirmed&) { }
+    static void take(Tick& tick, const StoreConfirmed& message) { FreshnessFence(tick).take(message); }
     static void take(Tick&, const ClaimSettled&) { }
     static void take(Tick&, const AllotmentsRead&) { }
     static void take(Tick&, const AllotmentsWriteFailed&) { }
-    static void take(Tick&, const PeerHeard&) { }
-    static void take(Tick&, const MembersListed&) { }
+    static void take(Tick& tick, const PeerHeard& message) { FreshnessFence(tick).take(message); }
+    static void take(Tick& tick, const MembersListed& message) { FreshnessFence(tick).take(message); }
 };
 
 RequestPlane::RequestPlane(PeerState self)
@@ -66,12 +67,13 @@
     return this->implementation->tick(now, inputs);
 }
 
-PeerState RequestPlane::describe(Instant) const
+PeerState RequestPlane::describe(Instant now) const
 {
-    const auto& tables = this->implementation->tables;
+    auto& tables = this->implementation->tables;
+    std::vector<RequestOutput> outbox;
+    Tick tick { tables, now, outbox };
     PeerState state = tables.self;
-    state.appliedRevision = tables.document ? tables.document->revision : 0;
-    state.knownRevision = state.appliedRevision;
+    FreshnessFence(tick).describe(state);
     state.shuttingDown = tables.shuttingDown;
     for (const auto& [key, line] : tables.lines) {
         if (line.running > 0 || line.waiting > 0)
--- a/modules/fleet/requests/admission/Admission.cpp
+++ b/modules/fleet/requests/admission/Admission.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <fleet/requests/admission/BearerCheck.h>
 #include <fleet/requests/admission/RetryAdvice.h>
+#include <fleet/requests/freshness/FreshnessFence.h>
 #include <fleet/requests/messages/RequestArrived.h>
 #include <fleet/requests/tables/RequestLifecycle.h>
 #include <fleet/requests/tables/RequestTables.h>
@@ -59,6 +60,8 @@
     }
     if (arrived.bearer.empty())
         return OutcomeReason::KeyMissing;
+    if (!FreshnessFence(this->tick).allowsKeyedWork())
+        return OutcomeReason::ConfigurationStale;
     const AccessKey* key = findShownKey(*tables.document, arrived.bearer);
     if (!key)
         return OutcomeReason::KeyInvalid;
--- a/modules/fleet/requests/dispatch/Dispatch.cpp
+++ b/modules/fleet/requests/dispatch/Dispatch.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <fleet/requests/dispatch/EndpointSelection.h>
+#include <fleet/requests/freshness/FreshnessFence.h>
 #include <fleet/requests/tables/RequestLifecycle.h>
 #include <fleet/requests/tables/RequestTables.h>
 
@@ -16,6 +17,7 @@
 
 Dispatch::Dispatch(Tick& tick)
     : tick(tick)
+    , keyedWorkEnd(FreshnessFence(tick).permissionEnd())
 {
 }
 
@@ -36,10 +38,13 @@
     return nullptr;
 }
 
-bool Dispatch::hasFreeUnit(const TeamId& team) const
+bool Dispatch::isPermitted(const RequestRow& row) const
 {
-    const Team* row = this->tick.tables.findTeam(team);
-    return !row || this->tick.tables.runningOf(team) < row->limit;
+    bool keyed = !row.key.isEmpty();
+    if (keyed && this->tick.now >= this->keyedWorkEnd)
+        return false;
+    const Team* team = this->tick.tables.findTeam(row.team);
+    return !team || this->tick.tables.runningOf(row.team) < team->limit;
 }
 
 double Dispatch::loadOf(const WorkLineKey& key) const
@@ -66,8 +71,7 @@
         if (line.waiting == 0 || this->blocked.contains(&line))
             continue;
         RequestRow* row = this->frontOf(line);
-        EndpointRow* endpoint
-            = row && this->hasFreeUnit(key.team) ? EndpointSelection(this->tick).choose(*row) : nullptr;
+        EndpointRow* endpoint = row && this->isPermitted(*row) ? EndpointSelection(this->tick).choose(*row) : nullptr;
         if (!endpoint) {
             this->blocked.insert(&line);
             continue;
@@ -103,6 +107,8 @@
     attempt.port = endpoint.port;
     attempt.team = row.team;
     attempt.notAfter = std::min(row.deadline, Deadline::after(this->tick.now, sendWindow));
+    if (!row.key.isEmpty())
+        attempt.notAfter = std::min(attempt.notAfter, Deadline(this->keyedWorkEnd));
     attempt.answerBy = row.deadline;
     attempt.freshConnection = !row.idempotent;
     this->tick.outbox.emplace_back(attempt);
--- a/modules/fleet/requests/dispatch/Dispatch.h
+++ b/modules/fleet/requests/dispatch/Dispatch.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <core/text/Identifier.h>
+#include <core/time/Instant.h>
 #include <fleet/requests/tables/Tick.h>
 
 #include <set>
@@ -25,13 +25,16 @@
     bool startNext();
     /// The request at the front of a line, after dropping ids that no longer wait; null if the line is empty.
     RequestRow* frontOf(WorkLine&) const;
-    bool hasFreeUnit(const TeamId&) const;
+    /// Whether freshness and the team's limit allow the request to start now.
+    bool isPermitted(const RequestRow&) const;
     bool goesBefore(const WorkLineKey&, const RequestRow&, const WorkLineKey& otherKey, const RequestRow& other) const;
     double loadOf(const WorkLineKey&) const;
     void begin(WorkLine&, RequestRow&, EndpointRow&);
     void send(RequestRow&, const EndpointRow&);
 
     Tick& tick;
+    /// Instant from which keyed work must not be started.
+    Instant keyedWorkEnd;
     /// Lines whose front cannot be started in this tick.
     std::set<const WorkLine*> blocked;
 };
--- a/modules/fleet/requests/dispatch/Expiry.cpp
+++ b/modules/fleet/requests/dispatch/Expiry.cpp
@@ -1,5 +1,6 @@
 #include <fleet/requests/dispatch/Expiry.h>
 
+#include <fleet/requests/freshness/FreshnessFence.h>
 #include <fleet/requests/messages/CallerLeft.h>
 #include <fleet/requests/tables/RequestLifecycle.h>
 #include <fleet/requests/tables/RequestTables.h>
@@ -38,6 +39,8 @@
 OutcomeReason Expiry::reasonFor(const RequestRow& row) const
 {
     const auto& tables = this->tick.tables;
+    if (!row.key.isEmpty() && !FreshnessFence(this->tick).allowsKeyedWork())
+        return OutcomeReason::ConfigurationStale;
     const Team* team = tables.findTeam(row.team);
     if (team && tables.runningOf(row.team) >= team->limit)
         return OutcomeReason::LimitReached;
--- /dev/null
+++ b/modules/fleet/requests/tables/PeerRow.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <core/text/Identifier.h>
+#include <core/time/Instant.h>
+#include <fleet/peers/PeerState.h>
+
+namespace Greengage {
+
+/// What is known of one incarnation of another daemon.
+struct PeerRow {
+    ZoneId zone;
+    /// Whether the last membership read from the store named it.
+    bool listed = false;
+    /// When it was last known to be alive, directly or through others.
+    Instant heardAt = Instant::min();
+    /// When it last spoke to us itself, and what it said.
+    Instant spokenAt = Instant::min();
+    PeerState state;
+};
+
+} // namespace Greengage
--- a/modules/fleet/requests/tables/RequestTables.h
+++ b/modules/fleet/requests/tables/RequestTables.h
@@ -4,11 +4,13 @@
 #include <core/time/Instant.h>
 #include <fleet/peers/PeerState.h>
 #include <fleet/requests/tables/EndpointRow.h>
+#include <fleet/requests/tables/PeerRow.h>
 #include <fleet/requests/tables/RequestRow.h>
 #include <fleet/requests/tables/UnknownWork.h>
 #include <fleet/requests/tables/WorkLine.h>
 #include <fleet/requests/tables/WorkLineKey.h>
 
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <vector>
@@ -25,6 +27,15 @@
     /// Requests by the instant at which their deadline passes; may name requests that have ended.
     std::multimap<Instant, RequestId> deadlines;
     std::map<WorkLineKey, WorkLine> lines;
+    std::map<IncarnationId, PeerRow> peers;
+    /// Whether the membership has ever been read from the store.
+    bool membersKnown = false;
+    /// Newest revision of the document that has been heard of.
+    std::uint64_t knownRevision = 0;
+    /// When the question was sent whose answer from the store, ours or a peer's, is the newest.
+    Instant confirmedAt = Instant::min();
+    /// The same for this daemon's own questions.
+    Instant storeAnsweredAt = Instant::min();
     std::map<VmId, EndpointRow> endpoints;
     std::vector<UnknownWork> unknownWork;
     bool shuttingDown = false;
