Add the caller stand-in

Cause: the promises are judged from what callers see, and nothing recorded it.

Change: standin-caller submits at Poisson arrivals over several daemons and source addresses, each load in turn at five times its mean, retries after not_run and after unknown or broken exchanges (under the same idempotency key on queues that are not idempotent), compares each answer with the one that its own request's body must give, and records every attempt.

--- /dev/null
+++ b/tests/standins/caller/CallerProcess.cpp
@@ -0,0 +1,210 @@
+#include <standins/caller/CallerProcess.h>
+
+#include <core/log/LogLine.h>
+#include <standins/common/JsonText.h>
+#include <standins/common/Loop.h>
+#include <standins/common/WorkOrder.h>
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+
+namespace Greengage {
+
+namespace {
+
+constexpr double burstFactor = 5.0;
+constexpr double quietFactor = 0.05;
+constexpr int maxAttempts = 8;
+constexpr Milliseconds retryPause { 100 };
+constexpr Milliseconds maxRetryPause { 1000 };
+/// How much longer than the request's deadline a caller waits for an answer.
+constexpr Milliseconds answerGrace { 3000 };
+constexpr Milliseconds doneInterval { 20 };
+constexpr std::array<int, 6> finalStatuses { 400, 401, 404, 405, 409, 413 };
+
+SeenOutcome toSeenOutcome(const HttpAnswer& answer)
+{
+    auto outcome = enumFromName<SeenOutcome>(answer.header("Greengage-Outcome"));
+    return outcome.value_or(SeenOutcome::Broken);
+}
+
+Milliseconds retryPauseOf(const HttpAnswer* answer)
+{
+    if (!answer)
+        return retryPause;
+    auto json = parseJsonObject(answer->body);
+    if (!json || !(*json)["retryAfterMs"].isInt())
+        return retryPause;
+    return std::clamp(Milliseconds((*json)["retryAfterMs"].asInt()), retryPause, maxRetryPause);
+}
+
+} // namespace
+
+CallerProcess::CallerProcess(Loop& loop, CallerSettings settings)
+    : loop(loop)
+    , settings(std::move(settings))
+    , history(this->settings.historyPath)
+    , random(this->settings.seed)
+{
+    for (const auto& source : this->settings.sources)
+        this->clients.push_back(std::make_unique<HttpClient>(loop.base(), source));
+}
+
+void CallerProcess::start()
+{
+    this->begin = BootClock::now();
+    this->end = Deadline::after(this->begin, this->settings.duration);
+    for (std::size_t load = 0; load < this->settings.loads.size(); ++load)
+        this->scheduleNext(load);
+    this->stopIfDone();
+}
+
+void CallerProcess::stopIfDone()
+{
+    if (this->end.hasPassed(BootClock::now()) && this->open == 0) {
+        this->loop.stop();
+        return;
+    }
+    this->loop.callLater(doneInterval, [this] { this->stopIfDone(); });
+}
+
+double CallerProcess::rateNow(std::size_t load) const
+{
+    auto mean = this->settings.loads[load].rate;
+    if (this->settings.burst == Milliseconds::zero())
+        return mean;
+    auto turn = static_cast<std::size_t>((BootClock::now() - this->begin) / this->settings.burst);
+    return mean * (turn % this->settings.loads.size() == load ? burstFactor : quietFactor);
+}
+
+void CallerProcess::scheduleNext(std::size_t load)
+{
+    std::exponential_distribution<double> gap(this->rateNow(load));
+    // A quiet load looks again at its rate in time for its next burst.
+    auto longest = this->settings.burst == Milliseconds::zero() ? Milliseconds(1000) : this->settings.burst / 4;
+    auto drawn = Microseconds(static_cast<long long>(std::min(gap(this->random), 1e3) * 1e6));
+    bool submits = drawn <= longest;
+    this->loop.callLater(std::min<Microseconds>(drawn, longest), [this, load, submits] {
+        if (this->end.hasPassed(BootClock::now()))
+            return;
+        if (submits)
+            this->submit(load);
+        this->scheduleNext(load);
+    });
+}
+
+void CallerProcess::submit(std::size_t load)
+{
+    auto submission = std::make_shared<Submission>();
+    submission->load = &this->settings.loads[load];
+    submission->name = this->settings.name + "-" + std::to_string(++this->submitted);
+    auto mean = submission->load->runMilliseconds;
+    submission->runMilliseconds = std::uniform_int_distribution<int>(mean / 2, mean + mean / 2)(this->random);
+    submission->deadline = Deadline::after(BootClock::now(), submission->load->deadline);
+    submission->daemon = this->settings.daemons.size();
+    ++this->open;
+    this->attempt(submission);
+}
+
+void CallerProcess::attempt(const SubmissionPointer& submission)
+{
+    ++submission->attempts;
+    this->chooseDaemon(*submission);
+    WorkOrder order;
+    order.call = submission->name + "." + std::to_string(submission->attempts);
+    order.runMilliseconds = submission->runMilliseconds;
+    order.answerBytes = submission->load->answerBytes;
+    auto body = order.toBody(submission->load->bodyBytes);
+    this->recordInvoke(*submission);
+    auto& client = this->clients[this->submitted % this->clients.size()];
+    client->send(this->makeCall(*submission, body),
+        [this, submission, body](Result<HttpAnswer, HttpFailure> outcome) { this->ended(submission, body, outcome); });
+}
+
+void CallerProcess::chooseDaemon(Submission& submission)
+{
+    auto count = this->settings.daemons.size();
+    auto chosen = std::uniform_int_distribution<std::size_t>(0, count - 1)(this->random);
+    if (chosen == submission.daemon)
+        chosen = (chosen + 1) % count;
+    submission.daemon = chosen;
+}
+
+HttpCall CallerProcess::makeCall(const Submission& submission, const std::string& body) const
+{
+    const auto& daemon = this->settings.daemons[submission.daemon];
+    auto remaining = std::chrono::duration_cast<Milliseconds>(submission.deadline.remaining(BootClock::now()));
+    remaining = std::max(remaining, Milliseconds(1));
+    HttpCall call;
+    call.address = daemon.address;
+    call.port = daemon.port;
+    call.path = "/v1/queues/" + submission.load->queue;
+    call.body = body;
+    call.timeout = remaining + answerGrace;
+    call.headers.push_back({ "Greengage-Timeout-Ms", std::to_string(remaining.count()) });
+    if (!submission.load->bearer.empty())
+        call.headers.push_back({ "Authorization", "Bearer " + submission.load->bearer });
+    if (!submission.load->idempotent)
+        call.headers.push_back({ "Idempotency-Key", submission.name });
+    return call;
+}
+
+void CallerProcess::ended(
+    const SubmissionPointer& submission, const std::string& body, const Result<HttpAnswer, HttpFailure>& outcome)
+{
+    if (outcome) {
+        auto seen = toSeenOutcome(outcome.value());
+        this->recordAnswer(*submission, seen, body, &outcome.value());
+        this->retryOrEnd(submission, seen, &outcome.value());
+        return;
+    }
+    auto seen = outcome.error().mayHaveBeenSent ? SeenOutcome::Broken : SeenOutcome::NotSent;
+    this->recordAnswer(*submission, seen, body, nullptr);
+    this->retryOrEnd(submission, seen, nullptr);
+}
+
+void CallerProcess::retryOrEnd(const SubmissionPointer& submission, SeenOutcome seen, const HttpAnswer* answer)
+{
+    bool isFinal = seen == SeenOutcome::Answered;
+    if (seen == SeenOutcome::NotRun && answer)
+        isFinal = std::find(finalStatuses.begin(), finalStatuses.end(), answer->status) != finalStatuses.end();
+    auto pause = retryPauseOf(answer);
+    auto next = BootClock::now() + pause;
+    if (isFinal || submission->attempts >= maxAttempts || submission->deadline.hasPassed(next)) {
+        --this->open;
+        return;
+    }
+    this->loop.callLater(pause, [this, submission] { this->attempt(submission); });
+}
+
+void CallerProcess::recordInvoke(const Submission& submission)
+{
+    const auto& load = *submission.load;
+    const auto& daemon = this->settings.daemons[submission.daemon];
+    this->history.append(LogLine("invoke")
+                             .add("call", submission.name + "." + std::to_string(submission.attempts))
+                             .add("submission", submission.name)
+                             .add("queue", load.queue)
+                             .add("team", load.team)
+                             .add("key", load.keyName())
+                             .add("idempotency", load.idempotent ? "" : submission.name)
+                             .add("daemon", daemon.address)
+                             .add("at", HistoryFile::now()));
+}
+
+void CallerProcess::recordAnswer(
+    const Submission& submission, SeenOutcome seen, const std::string& body, const HttpAnswer* answer)
+{
+    bool whole = seen != SeenOutcome::Answered || answer->body == WorkOrder::answerFor(body);
+    this->history.append(LogLine("answer")
+                             .add("call", submission.name + "." + std::to_string(submission.attempts))
+                             .add("outcome", nameOf(seen))
+                             .add("reason", answer ? answer->header("Greengage-Reason") : "")
+                             .add("request", answer ? answer->header("Greengage-Request") : "")
+                             .add("status", answer ? answer->status : 0)
+                             .add("whole", whole ? "true" : "false")
+                             .add("at", HistoryFile::now()));
+}
+
+} // namespace Greengage
--- /dev/null
+++ b/tests/standins/caller/CallerProcess.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <checker/AnswerEvent.h>
+#include <platform/http/HttpClient.h>
+#include <standins/caller/CallerSettings.h>
+#include <standins/caller/Submission.h>
+#include <standins/common/HistoryFile.h>
+
+#include <memory>
+#include <random>
+#include <vector>
+
+namespace Greengage {
+
+class Loop;
+
+/// Submits work at the loads' rates to the daemons, retries as the protocol allows, and records what it sees.
+class CallerProcess {
+public:
+    CallerProcess(Loop&, CallerSettings);
+
+    /// Begins to submit. When the duration has passed and every submission has ended, the loop is stopped.
+    void start();
+
+    std::size_t submissionCount() const { return this->submitted; }
+
+private:
+    using SubmissionPointer = std::shared_ptr<Submission>;
+
+    void scheduleNext(std::size_t load);
+    double rateNow(std::size_t load) const;
+    void submit(std::size_t load);
+    void attempt(const SubmissionPointer&);
+    HttpCall makeCall(const Submission&, const std::string& body) const;
+    void chooseDaemon(Submission&);
+    void ended(const SubmissionPointer&, const std::string& body, const Result<HttpAnswer, HttpFailure>&);
+    void retryOrEnd(const SubmissionPointer&, SeenOutcome, const HttpAnswer*);
+    void recordInvoke(const Submission&);
+    void recordAnswer(const Submission&, SeenOutcome, const std::string& body, const HttpAnswer*);
+    void stopIfDone();
+
+    Loop& loop;
+    CallerSettings settings;
+    HistoryFile history;
+    std::mt19937_64 random;
+    std::vector<std::unique_ptr<HttpClient>> clients;
+    Instant begin;
+    Deadline end;
+    std::size_t submitted = 0;
+    std::size_t open = 0;
+};
+
+} // namespace Greengage
