--- /dev/null
+++ b/modules/config/admin/AdminCodec.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <config/acceptance/DocumentSubmission.h>
+#include <config/acceptance/SectionConflicts.h>
+#include <config/errors/ConfigErrors.h>
+#include <config/json/CodecError.h>
+#include <core/errors/Result.h>
+
+#include <string>
+#include <string_view>
+
+namespace Greengage {
+
+/// The JSON bodies of the operators' protocol that carry submissions and refusals. Decoding refuses missing and
+/// mistyped members; members that it does not know are passed over in answers, so that a newer daemon can say more.
+class AdminCodec {
+public:
+    static std::string encodeSubmission(const DocumentSubmission&);
+    static Result<DocumentSubmission, CodecError> decodeSubmission(std::string_view json);
+
+    /// {"conflicts":[{"section","changedBy","revision"}]}
+    static std::string encodeConflicts(const SectionConflicts&);
+    static Result<SectionConflicts, CodecError> decodeConflicts(std::string_view json);
+
+    /// {"errors":[{"section","key","line","message"}]}
+    static std::string encodeErrors(const ConfigErrors&);
+    static Result<ConfigErrors, CodecError> decodeErrors(std::string_view json);
+};
+
+} // namespace Greengage
--- a/modules/config/document/DocumentCodec.cpp
+++ b/modules/config/document/DocumentCodec.cpp
@@ -1,6 +1,6 @@
 #include <config/document/DocumentCodec.h>
 
-#include <config/document/JsonText.h>
+#include <config/json/JsonText.h>
 
 #include <initializer_list>
 
--- a/modules/config/document/DocumentCodec.h
+++ b/modules/config/document/DocumentCodec.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <config/document/CodecError.h>
+#include <config/json/CodecError.h>
 #include <config/model/DocumentRecord.h>
 #include <core/errors/Result.h>
 
--- a/modules/config/ini/IniParser.cpp
+++ b/modules/config/ini/IniParser.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cstring>
 #include <ini.h>
+#include <locale>
 #include <utility>
 
 namespace Greengage {
@@ -17,6 +18,24 @@
     return (byte < ' ' && byte != '\t' && byte != '\r') || byte == 0x7f;
 }
 
+/// Whether two bytes begin an encoded surrogate, which is not a character, though the library's facet takes it for one.
+bool beginsSurrogate(char first, char second)
+{
+    return static_cast<unsigned char>(first) == 0xed && static_cast<unsigned char>(second) >= 0xa0;
+}
+
+/// Whether the text is UTF-8, which the store and the daemons exchange it in.
+bool isUtf8(std::string_view text)
+{
+    using Utf8Facet = std::codecvt<char32_t, char8_t, std::mbstate_t>;
+    std::mbstate_t state {};
+    const auto* begin = reinterpret_cast<const char8_t*>(text.data());
+    const auto& facet = std::use_facet<Utf8Facet>(std::locale::classic());
+    auto length = facet.length(state, begin, begin + text.size(), text.size());
+    return static_cast<std::size_t>(length) == text.size()
+        && std::ranges::adjacent_find(text, beginsSurrogate) == text.end();
+}
+
 } // namespace
 
 IniFile IniParser::parse(std::string_view text)
@@ -63,6 +82,10 @@
         this->report({}, "the line holds a control character; only printable text and tabs are allowed");
         return false;
     }
+    if (!isUtf8(text)) {
+        this->report({}, "the line is not UTF-8 text; save the file in UTF-8");
+        return false;
+    }
     auto line = classifyIniLine(text);
     if (line.kind == IniLineKind::BadHeader) {
         this->report({}, "a section starts with \"[name]\" at the beginning of its own line");
--- a/modules/config/document/JsonText.cpp
+++ b/modules/config/json/JsonText.cpp
@@ -1,4 +1,4 @@
-#include <config/document/JsonText.h>
+#include <config/json/JsonText.h>
 
 #include <json/reader.h>
 #include <json/writer.h>
@@ -33,6 +33,8 @@
 {
     Json::StreamWriterBuilder builder;
     builder["indentation"] = "";
+    // The escapes that jsoncpp 1.9.5 writes for characters of four bytes do not decode to the same character.
+    builder["emitUTF8"] = true;
     return Json::writeString(builder, value);
 }
 
--- a/modules/config/tests/DocumentParserTests.cpp
+++ b/modules/config/tests/DocumentParserTests.cpp
@@ -102,10 +102,21 @@
            "keys at the line's start\n");
 }
 
+BOOST_AUTO_TEST_CASE(onlyUtf8IsTaken)
+{
+    BOOST_TEST(faultsOf("; svíčky 🕯\n") == "none");
+    BOOST_TEST(faultsOf("; sv\xed"
+                        "čky\n; \xed\xa0\x80\n; \xc0\xaf\n; cut \xc3\n")
+        == "doc:1: the line is not UTF-8 text; save the file in UTF-8\n"
+           "doc:2: the line is not UTF-8 text; save the file in UTF-8\n"
+           "doc:3: the line is not UTF-8 text; save the file in UTF-8\n"
+           "doc:4: the line is not UTF-8 text; save the file in UTF-8\n");
+}
+
 BOOST_AUTO_TEST_CASE(recordsSurviveEncoding)
 {
     DocumentRecord record { 9, { { 9, "c-1", "jana", 1700000000123, { "team a", "key k" } } },
-        "; čeština \"x\"\n[pool p]\n" };
+        "; čeština 🕯 \"x\"\n[pool p]\n" };
     auto decoded = DocumentCodec::decode(DocumentCodec::encode(record));
     BOOST_REQUIRE(decoded.has_value());
     BOOST_TEST(decoded.value().text == record.text);
