Give the daemon's status and the answer to a submission a typed form

Cause: the operators' tool and the daemon need one definition of GET /v1/status and of the answer to an accepted submission; the contract named only the subjects.

Change: StatusReport with its codec, ApplyAnswer, and MemberReader, which the bodies of the admin port are now read with.

--- a/modules/config/admin/AdminCodec.cpp
+++ b/modules/config/admin/AdminCodec.cpp
@@ -1,20 +1,18 @@
 #include <config/admin/AdminCodec.h>
 
 #include <config/json/JsonText.h>
+#include <config/json/MemberReader.h>
 
 namespace Greengage {
 
 namespace {
 
-bool isListOfObjects(const Json::Value& json, const char* member)
+/// The value that was read, unless reading it met an error.
+template <typename Value> Result<Value, CodecError> valueOr(Value value, const CodecError& error)
 {
-    if (!json.isObject() || !json[member].isArray())
-        return false;
-    for (const auto& entry : json[member]) {
-        if (!entry.isObject())
-            return false;
-    }
-    return true;
+    if (!error.message.empty())
+        return error;
+    return value;
 }
 
 } // namespace
@@ -32,11 +30,33 @@
 Result<DocumentSubmission, CodecError> AdminCodec::decodeSubmission(std::string_view text)
 {
     BOOST_OUTCOME_TRY(json, parseJson(text));
-    if (!json.isObject() || json.size() != 4 || !json["changeId"].isString() || !json["author"].isString()
-        || !json["baseRevision"].isUInt64() || !json["text"].isString())
-        return CodecError { "a submission has the strings changeId, author and text and the number baseRevision" };
-    return DocumentSubmission { json["changeId"].asString(), json["author"].asString(), json["baseRevision"].asUInt64(),
-        json["text"].asString() };
+    CodecError error;
+    MemberReader reader(json, error);
+    DocumentSubmission submission { reader.text("changeId"), reader.text("author"), reader.count("baseRevision"),
+        reader.text("text") };
+    if (error.message.empty() && json.size() != 4)
+        return CodecError { "a submission has no members but changeId, author, baseRevision and text" };
+    return valueOr(std::move(submission), error);
+}
+
+std::string AdminCodec::encodeAnswer(const ApplyAnswer& answer)
+{
+    Json::Value json(Json::objectValue);
+    json["revision"] = Json::UInt64(answer.revision);
+    json["inForce"] = answer.inForce;
+    json["behind"] = Json::Value(Json::arrayValue);
+    for (const auto& daemon : answer.behind)
+        json["behind"].append(daemon);
+    return writeJson(json);
+}
+
+Result<ApplyAnswer, CodecError> AdminCodec::decodeAnswer(std::string_view text)
+{
+    BOOST_OUTCOME_TRY(json, parseJson(text));
+    CodecError error;
+    MemberReader reader(json, error);
+    ApplyAnswer answer { reader.count("revision"), reader.flag("inForce"), reader.texts("behind") };
+    return valueOr(std::move(answer), error);
 }
 
 std::string AdminCodec::encodeConflicts(const SectionConflicts& conflicts)
@@ -56,16 +76,14 @@
 Result<SectionConflicts, CodecError> AdminCodec::decodeConflicts(std::string_view text)
 {
     BOOST_OUTCOME_TRY(json, parseJson(text));
-    if (!isListOfObjects(json, "conflicts"))
-        return CodecError { "a list of conflicts is expected" };
+    CodecError error;
+    MemberReader reader(json, error);
     SectionConflicts conflicts;
-    for (const auto& entry : json["conflicts"]) {
-        if (!entry["section"].isString() || !entry["changedBy"].isString() || !entry["revision"].isUInt64())
-            return CodecError { "a conflict has the strings section and changedBy and the number revision" };
-        conflicts.list.push_back(
-            { entry["section"].asString(), entry["changedBy"].asString(), entry["revision"].asUInt64() });
+    for (const auto& entry : reader.list("conflicts")) {
+        auto inner = reader.inner(entry);
+        conflicts.list.push_back({ inner.text("section"), inner.text("changedBy"), inner.count("revision") });
     }
-    return conflicts;
+    return valueOr(std::move(conflicts), error);
 }
 
 std::string AdminCodec::encodeErrors(const ConfigErrors& errors)
@@ -86,17 +104,15 @@
 Result<ConfigErrors, CodecError> AdminCodec::decodeErrors(std::string_view text)
 {
     BOOST_OUTCOME_TRY(json, parseJson(text));
-    if (!isListOfObjects(json, "errors"))
-        return CodecError { "a list of errors is expected" };
+    CodecError error;
+    MemberReader reader(json, error);
     ConfigErrors errors;
-    for (const auto& entry : json["errors"]) {
-        if (!entry["section"].isString() || !entry["key"].isString() || !entry["line"].isInt()
-            || !entry["message"].isString())
-            return CodecError { "an error has the strings section, key and message and the number line" };
-        errors.list.push_back({ entry["section"].asString(), entry["key"].asString(), entry["line"].asInt(),
-            entry["message"].asString() });
+    for (const auto& entry : reader.list("errors")) {
+        auto inner = reader.inner(entry);
+        errors.list.push_back(
+            { inner.text("section"), inner.text("key"), inner.integer("line"), inner.text("message") });
     }
-    return errors;
+    return valueOr(std::move(errors), error);
 }
 
 } // namespace Greengage
--- a/modules/config/admin/AdminCodec.h
+++ b/modules/config/admin/AdminCodec.h
@@ -2,6 +2,7 @@
 
 #include <config/acceptance/DocumentSubmission.h>
 #include <config/acceptance/SectionConflicts.h>
+#include <config/admin/ApplyAnswer.h>
 #include <config/errors/ConfigErrors.h>
 #include <config/json/CodecError.h>
 #include <core/errors/Result.h>
@@ -18,6 +19,10 @@
     static std::string encodeSubmission(const DocumentSubmission&);
     static Result<DocumentSubmission, CodecError> decodeSubmission(std::string_view json);
 
+    /// {"revision","inForce","behind":[daemon]}
+    static std::string encodeAnswer(const ApplyAnswer&);
+    static Result<ApplyAnswer, CodecError> decodeAnswer(std::string_view json);
+
     /// {"conflicts":[{"section","changedBy","revision"}]}
     static std::string encodeConflicts(const SectionConflicts&);
     static Result<SectionConflicts, CodecError> decodeConflicts(std::string_view json);
--- /dev/null
+++ b/modules/config/admin/StatusCodec.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <config/admin/StatusReport.h>
+#include <config/json/CodecError.h>
+#include <core/errors/Result.h>
+
+#include <string>
+#include <string_view>
+
+namespace Greengage {
+
+/// The JSON of status reports. Every list and member is written; decoding refuses missing and mistyped members and
+/// passes over those that it does not know:
+/// {"daemon","revision","inForceRevision","storeReachable","fresh",
+///  "daemons":[{"daemon","zone","revision","heardMillisecondsAgo"}],
+///  "waves":[{"wave","state","remaining","done","stuck":[vm]}], "endpoints":[{"vm","service","state","running"}]}
+class StatusCodec {
+public:
+    static std::string encode(const StatusReport&);
+    static Result<StatusReport, CodecError> decode(std::string_view json);
+};
+
+} // namespace Greengage
--- a/modules/config/config.h
+++ b/modules/config/config.h
@@ -6,6 +6,7 @@
 #include <config/acceptance/DocumentAcceptance.h>
 #include <config/acceptance/DocumentSubmission.h>
 #include <config/admin/AdminCodec.h>
+#include <config/admin/StatusCodec.h>
 #include <config/document/DocumentCodec.h>
 #include <config/document/DocumentParser.h>
 #include <config/errors/ConfigError.h>
--- /dev/null
+++ b/modules/config/json/MemberReader.cpp
@@ -0,0 +1,60 @@
+#include <config/json/MemberReader.h>
+
+namespace Greengage {
+
+MemberReader::MemberReader(const Json::Value& object, CodecError& error)
+    : object(object)
+    , error(error)
+{
+}
+
+const Json::Value& MemberReader::member(const char* name, bool (Json::Value::*isWanted)() const, const char* wanted)
+{
+    const auto& found = this->object.isObject() ? this->object[name] : Json::Value::nullSingleton();
+    if ((found.*isWanted)() && !found.isNull())
+        return found;
+    if (this->error.message.empty())
+        this->error.message = std::string("the member ") + name + " must be " + wanted;
+    return Json::Value::nullSingleton();
+}
+
+std::string MemberReader::text(const char* name)
+{
+    return this->member(name, &Json::Value::isString, "a string").asString();
+}
+
+bool MemberReader::flag(const char* name) { return this->member(name, &Json::Value::isBool, "true or false").asBool(); }
+
+int MemberReader::integer(const char* name)
+{
+    return this->member(name, &Json::Value::isInt, "a whole number").asInt();
+}
+
+std::int64_t MemberReader::whole(const char* name)
+{
+    return this->member(name, &Json::Value::isInt64, "a whole number").asInt64();
+}
+
+std::uint64_t MemberReader::count(const char* name)
+{
+    return this->member(name, &Json::Value::isUInt64, "a whole number from 0").asUInt64();
+}
+
+std::vector<std::string> MemberReader::texts(const char* name)
+{
+    std::vector<std::string> texts;
+    for (const auto& entry : this->list(name)) {
+        if (entry.isString())
+            texts.push_back(entry.asString());
+        else if (this->error.message.empty())
+            this->error.message = std::string("the entries of ") + name + " must be strings";
+    }
+    return texts;
+}
+
+const Json::Value& MemberReader::list(const char* name)
+{
+    return this->member(name, &Json::Value::isArray, "an array");
+}
+
+} // namespace Greengage
--- a/modules/config/tests/DocumentAcceptanceTests.cpp
+++ b/modules/config/tests/DocumentAcceptanceTests.cpp
@@ -129,4 +129,23 @@
     BOOST_TEST((AdminCodec::decodeConflicts(AdminCodec::encodeConflicts(conflicts)).value().list == conflicts.list));
 }
 
+BOOST_AUTO_TEST_CASE(statusSurvivesEncoding)
+{
+    StatusReport report;
+    report.daemon = DaemonId("brno-1");
+    report.revision = 7;
+    report.daemons = { { DaemonId("brno-2"), ZoneId("zone-1"), 6, 400 } };
+    report.waves = { { WaveId("kernel"), "running", 3, 4, { VmId("vm-1-1") } } };
+    report.endpoints = { { VmId("vm-1-2"), ServiceId("orders"), "live", 2 } };
+    auto json = StatusCodec::encode(report);
+    auto decoded = StatusCodec::decode(json);
+    BOOST_REQUIRE(decoded.has_value());
+    BOOST_TEST(StatusCodec::encode(decoded.value()) == json);
+    auto mistyped = json;
+    mistyped.replace(mistyped.find("\"running\":2"), 11, "\"running\":[]");
+    BOOST_TEST(StatusCodec::decode(mistyped).error().message == "the member running must be a whole number");
+    auto answer = AdminCodec::decodeAnswer(AdminCodec::encodeAnswer({ 4, false, { "brno-2" } }));
+    BOOST_TEST(answer.value().behind.at(0) == "brno-2");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
