Add the relay stand-in and rename the callers' options

Cause: availability zones are to be cut from each other and connections made silent between processes that know nothing of it. The caller stand-in's CallerSettings had the name of a type of the config package.

CallerSettings of the stand-in is now CallerOptions.

Ruled out: cutting by packet filter, which needs rights that tests lack.

--- a/tests/standins/caller/CallerSettings.h
+++ b/tests/standins/caller/CallerOptions.h
@@ -11,7 +11,7 @@
 namespace Greengage {
 
 /// Everything that one run of the caller stand-in is told.
-struct CallerSettings {
+struct CallerOptions {
     std::vector<DaemonAddress> daemons;
     /// Local addresses that connections are bound to, taken in turn.
     std::vector<std::string> sources;
--- a/tests/standins/caller/CallerProcess.cpp
+++ b/tests/standins/caller/CallerProcess.cpp
@@ -41,7 +41,7 @@
 
 } // namespace
 
-CallerProcess::CallerProcess(Loop& loop, CallerSettings settings)
+CallerProcess::CallerProcess(Loop& loop, CallerOptions settings)
     : loop(loop)
     , settings(std::move(settings))
     , history(this->settings.historyPath)
--- a/tests/standins/caller/CallerProcess.h
+++ b/tests/standins/caller/CallerProcess.h
@@ -2,7 +2,7 @@
 
 #include <checker/AnswerEvent.h>
 #include <platform/http/HttpClient.h>
-#include <standins/caller/CallerSettings.h>
+#include <standins/caller/CallerOptions.h>
 #include <standins/caller/Submission.h>
 #include <standins/common/HistoryFile.h>
 
@@ -17,7 +17,7 @@
 /// Submits work at the loads' rates to the daemons, retries as the protocol allows, and records what it sees.
 class CallerProcess {
 public:
-    CallerProcess(Loop&, CallerSettings);
+    CallerProcess(Loop&, CallerOptions);
 
     /// Begins to submit. When the duration has passed and every submission has ended, the loop is stopped.
     void start();
@@ -40,7 +40,7 @@
     void stopIfDone();
 
     Loop& loop;
-    CallerSettings settings;
+    CallerOptions settings;
     HistoryFile history;
     std::mt19937_64 random;
     std::vector<std::unique_ptr<HttpClient>> clients;
--- a/tests/standins/caller/main.cpp
+++ b/tests/standins/caller/main.cpp
@@ -27,7 +27,7 @@
 int main(int argumentCount, char** arguments)
 {
     CLI::App app("Callers, for tests");
-    Greengage::CallerSettings settings;
+    Greengage::CallerOptions settings;
     std::vector<std::string> daemons;
     std::vector<std::string> loads;
     long long durationMilliseconds = 10000;
--- /dev/null
+++ b/tests/standins/relay/RelayRoute.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+namespace Greengage {
+
+/// A listening address and where its connections lead.
+struct RelayRoute {
+    std::string listenAddress;
+    std::uint16_t listenPort = 0;
+    std::string targetAddress;
+    std::uint16_t targetPort = 0;
+};
+
+} // namespace Greengage
--- a/tests/standins/tests/CallerTests.cpp
+++ b/tests/standins/tests/CallerTests.cpp
@@ -32,7 +32,7 @@
     /// Runs callers for a short while with one load and judges their history.
     HistoryVerdict run(bool idempotent)
     {
-        CallerSettings settings;
+        CallerOptions settings;
         settings.daemons = { { "127.1.1.1", this->port } };
         settings.sources = { "127.4.1.1" };
         settings.loads = { CallerLoad::parse("queue=quotes team=booking bearer=k1.secret rate=100").value() };
