Add a site of processes for tests

Cause: the proofs need whole sites of real processes, started, stopped, frozen and killed by their ids, with settings and documents of their own.

Change: ChildProcess (ends with its object and with the test), PortBlock (ranges of ports that tests on one machine do not share), SitePlan, SiteDocument, SiteLayout and Site: store, endpoints, optional relay, daemons, callers, operators' history, verdict of all histories.

--- /dev/null
+++ b/tests/support/HttpTool.cpp
@@ -0,0 +1,80 @@
+#include <tests/support/HttpTool.h>
+
+#include <core/time/Deadline.h>
+#include <standins/common/JsonText.h>
+
+#include <optional>
+#include <stdexcept>
+#include <thread>
+
+namespace Greengage {
+
+namespace {
+
+constexpr Milliseconds pollInterval { 20 };
+constexpr Milliseconds callLimit { 20000 };
+
+} // namespace
+
+HttpTool::HttpTool()
+    : client(loop.base(), "127.0.0.1")
+{
+}
+
+HttpTool::Outcome HttpTool::send(HttpCall call)
+{
+    std::optional<Outcome> outcome;
+    call.freshConnection = true;
+    this->client.send(call, [&outcome](Outcome result) { outcome = std::move(result); });
+    if (!this->loop.runUntil([&outcome] { return outcome.has_value(); }, call.timeout + callLimit))
+        throw std::runtime_error("call to " + call.address + " has not ended");
+    this->client.closeIdleConnections();
+    return *outcome;
+}
+
+Json::Value HttpTool::post(
+    const std::string& address, std::uint16_t port, const std::string& path, const Json::Value& body)
+{
+    HttpCall call;
+    call.address = address;
+    call.port = port;
+    call.path = path;
+    call.body = toJsonText(body);
+    return this->sendForJson(call);
+}
+
+Json::Value HttpTool::get(const std::string& address, std::uint16_t port, const std::string& path)
+{
+    HttpCall call;
+    call.address = address;
+    call.port = port;
+    call.path = path;
+    return this->sendForJson(call);
+}
+
+Json::Value HttpTool::sendForJson(const HttpCall& call)
+{
+    auto outcome = this->send(call);
+    auto where = call.address + ":" + std::to_string(call.port) + call.path + ": ";
+    if (!outcome)
+        throw std::runtime_error(where + outcome.error().detail);
+    if (outcome.value().status != 200)
+        throw std::runtime_error(where + std::to_string(outcome.value().status) + " " + outcome.value().body);
+    auto json = parseJsonObject(outcome.value().body);
+    if (!json)
+        throw std::runtime_error(where + "no JSON object");
+    return *json;
+}
+
+bool HttpTool::waitUntil(const std::function<bool()>& condition, Milliseconds limit)
+{
+    auto deadline = Deadline::after(BootClock::now(), limit);
+    while (!condition()) {
+        if (deadline.hasPassed(BootClock::now()))
+            return false;
+        std::this_thread::sleep_for(pollInterval);
+    }
+    return true;
+}
+
+} // namespace Greengage
--- /dev/null
+++ b/tests/support/Site.cpp
@@ -0,0 +1,357 @@
+#include <tests/support/Site.h>
+
+#include <checker/HistoryChecker.h>
+#include <checker/HistoryReader.h>
+#include <core/log/LogLine.h>
+#include <core/text/Digest.h>
+#include <standins/common/JsonText.h>
+#include <standins/common/KeyValueLine.h>
+
+#include <algorithm>
+#include <csignal>
+#include <cstdlib>
+#include <fstream>
+#include <spdlog/fmt/fmt.h>
+#include <stdexcept>
+#include <unistd.h>
+
+namespace Greengage {
+
+namespace {
+
+constexpr std::string_view operatorSalt = "ffeeddccbbaa99887766554433221100";
+constexpr std::string_view operatorKey = "operator-key";
+constexpr std::string_view historySuffix = ".history";
+
+std::string endpointOption(const EndpointPlace& place, std::uint16_t port)
+{
+    return fmt::format("{}={}:{}", place.vm, place.address, port);
+}
+
+std::string routeOption(const std::string& address, std::uint16_t from, std::uint16_t to)
+{
+    return fmt::format("{0}:{1}={0}:{2}", address, from, to);
+}
+
+} // namespace
+
+Site::Site(const SitePlan& plan)
+    : plan(plan)
+    , places(plan)
+    , operatorsDocument(plan, places.vmsByService())
+    , folder(
+          std::filesystem::temp_directory_path() / fmt::format("greengage-site-{}-{}", getpid(), places.callerPort()))
+{
+    std::filesystem::remove_all(this->folder);
+    std::filesystem::create_directories(this->folder);
+    this->operatorHistory = std::make_unique<HistoryFile>(this->file("operators.history"));
+    this->daemons.resize(this->places.daemons().size());
+    for (const auto& place : this->places.endpoints())
+        this->vmStates[place.vm] = "live";
+}
+
+Site::~Site()
+{
+    this->callers.clear();
+    this->daemons.clear();
+    this->relay.reset();
+    this->endpoints.reset();
+    this->store.reset();
+    if (!std::getenv("GREENGAGE_KEEP_SITE"))
+        std::filesystem::remove_all(this->folder);
+}
+
+std::unique_ptr<ChildProcess> Site::start(const std::string& name, std::vector<std::string> command)
+{
+    command[0] = std::string(BINARY_ROOT) + "/bin/" + command[0];
+    return std::make_unique<ChildProcess>(std::move(command), this->file(name + ".log"));
+}
+
+void Site::startPlatform()
+{
+    this->startStore();
+    this->startEndpoints();
+    if (this->plan.relayed)
+        this->startRelay();
+    this->waitForEndpoints();
+    this->listVms();
+}
+
+void Site::startStore()
+{
+    this->store = this->start("store",
+        { "standin-store", "--address", SiteLayout::storeAddress(), "--port", std::to_string(this->places.storePort()),
+            "--control-port", std::to_string(this->places.storeControlPort()), "--history",
+            this->file("platform.history") });
+}
+
+void Site::startEndpoints()
+{
+    std::vector<std::string> command { "standin-minion", "--control-port",
+        std::to_string(this->places.minionControlPort()), "--history", this->file("endpoints.history"), "--run-ms",
+        std::to_string(this->plan.runMilliseconds) };
+    for (const auto& place : this->places.endpoints()) {
+        command.emplace_back("--endpoint");
+        command.push_back(endpointOption(place, this->places.endpointPort()));
+    }
+    this->endpoints = this->start("endpoints", command);
+}
+
+void Site::startRelay()
+{
+    std::vector<std::string> command { "standin-relay", "--control-port",
+        std::to_string(this->places.relayControlPort()) };
+    auto add = [&command](const std::string& address, std::uint16_t from, std::uint16_t to) {
+        command.emplace_back("--route");
+        command.push_back(routeOption(address, from, to));
+    };
+    add(SiteLayout::storeAddress(), this->places.relayedStorePort(), this->places.storePort());
+    for (const auto& place : this->places.daemons())
+        add(place.address, this->places.relayedMeshPort(), this->places.meshPort());
+    for (const auto& place : this->places.endpoints())
+        add(place.address, this->places.relayedEndpointPort(), this->places.endpointPort());
+    this->relay = this->start("relay", command);
+}
+
+void Site::waitForEndpoints()
+{
+    auto answers = [this](std::uint16_t port, const std::string& path) {
+        HttpCall call;
+        call.address = SiteLayout::storeAddress();
+        call.port = port;
+        call.path = path;
+        return this->http.send(call).has_value();
+    };
+    auto allAnswer = [&] {
+        return answers(this->places.storeControlPort(), "/control/calls")
+            && answers(this->places.minionControlPort(), "/control/state")
+            && (!this->relay || answers(this->places.relayControlPort(), "/control/state"));
+    };
+    if (!this->http.waitUntil(allAnswer, Site::waitLimit))
+        throw std::runtime_error("stand-ins do not answer; see " + this->folder.string());
+}
+
+void Site::listVms()
+{
+    Json::Value settings;
+    settings["vms"] = Json::arrayValue;
+    for (const auto& place : this->places.endpoints()) {
+        Json::Value vm;
+        vm["id"] = place.vm;
+        vm["address"] = place.address;
+        vm["port"] = this->plan.relayed ? this->places.relayedEndpointPort() : this->places.endpointPort();
+        vm["zone"] = "zone-" + std::to_string(place.zone);
+        vm["rack"] = place.rack;
+        vm["state"] = this->vmStates[place.vm];
+        settings["vms"].append(vm);
+    }
+    this->controlStore(settings);
+}
+
+void Site::setVmState(const std::string& vm, const std::string& state)
+{
+    this->vmStates[vm] = state;
+    this->listVms();
+}
+
+void Site::writeSettings(std::size_t index) const
+{
+    const auto& place = this->places.daemons()[index];
+    auto meshPort = this->plan.relayed ? this->places.relayedMeshPort() : this->places.meshPort();
+    auto storePort = this->plan.relayed ? this->places.relayedStorePort() : this->places.storePort();
+    std::string peers;
+    for (const auto& other : this->places.daemons()) {
+        if (other.name != place.name)
+            peers += fmt::format("{}{}:{}", peers.empty() ? "" : ", ", other.address, meshPort);
+    }
+    std::ofstream settings(this->file(place.name + ".ini"));
+    settings << fmt::format(
+        "[daemon]\nname = {}\nzone = zone-{}\naddress = {}\n\n", place.name, place.zone, place.address)
+             << "[log]\nlevel = info\n\n"
+             << fmt::format("[callers]\nport = {}\n\n", this->places.callerPort())
+             << fmt::format("[admin]\nport = {}\nkey_salt = {}\nkey_digest = {}\n\n", this->places.adminPort(),
+                    operatorSalt, sha256Hex(std::string(operatorSalt) + std::string(operatorKey)))
+             << fmt::format("[mesh]\nport = {}\nadvertised_port = {}\n", this->places.meshPort(), meshPort)
+             << (peers.empty() ? "" : "peers = " + peers + "\n")
+             << fmt::format("\n[store]\naddress = {}\nport = {}\n", SiteLayout::storeAddress(), storePort);
+}
+
+void Site::startDaemon(std::size_t index)
+{
+    this->writeSettings(index);
+    const auto& name = this->places.daemons()[index].name;
+    this->daemons[index] = this->start(name, { "greengaged", "--settings", this->file(name + ".ini") });
+}
+
+void Site::startDaemons()
+{
+    for (std::size_t index = 0; index < this->daemons.size(); ++index)
+        this->startDaemon(index);
+    for (std::size_t index = 0; index < this->daemons.size(); ++index) {
+        auto answersAdmin = [&] { return this->http.send(this->adminCall(index, "/v1/status")).has_value(); };
+        if (!this->http.waitUntil(answersAdmin, Site::waitLimit))
+            throw std::runtime_error("daemon does not answer; see " + this->folder.string());
+    }
+}
+
+bool Site::answersHealth(std::size_t index)
+{
+    HttpCall call;
+    call.address = this->places.daemons()[index].address;
+    call.port = this->places.callerPort();
+    call.path = "/healthz";
+    auto outcome = this->http.send(call);
+    return outcome && outcome.value().status == 200;
+}
+
+HttpCall Site::adminCall(std::size_t daemonIndex, const std::string& path) const
+{
+    HttpCall call;
+    call.address = this->places.daemons()[daemonIndex].address;
+    call.port = this->places.adminPort();
+    call.path = path;
+    call.headers.push_back({ "Authorization", "Bearer " + std::string(operatorKey) });
+    call.timeout = Site::waitLimit;
+    return call;
+}
+
+void Site::applyDocument(std::size_t daemonIndex)
+{
+    this->recordLimits(true);
+    auto revision = this->submitDocument(daemonIndex);
+    this->recordLimits(false);
+    this->recordWithdrawals();
+    auto isInForce = [&] {
+        auto status = this->http.send(this->adminCall(daemonIndex, "/v1/status"));
+        auto json = status ? parseJsonObject(status.value().body) : std::nullopt;
+        return json && (*json)["inForceRevision"].asUInt64() >= revision;
+    };
+    if (!this->http.waitUntil(isInForce, Site::waitLimit))
+        throw std::runtime_error("document is not in force in time; see " + this->folder.string());
+}
+
+std::uint64_t Site::submitDocument(std::size_t daemonIndex)
+{
+    auto status = this->http.send(this->adminCall(daemonIndex, "/v1/status"));
+    auto known = status ? parseJsonObject(status.value().body) : std::nullopt;
+    Json::Value submission;
+    submission["changeId"] = fmt::format("change-{}-{}", getpid(), ++this->changes);
+    submission["author"] = "test";
+    submission["baseRevision"] = known ? (*known)["revision"] : Json::Value(0);
+    submission["text"] = this->operatorsDocument.text();
+    auto call = this->adminCall(daemonIndex, "/v1/document");
+    call.body = toJsonText(submission);
+    std::string last;
+    auto isAccepted = [&] {
+        auto outcome = this->http.send(call);
+        last = outcome ? std::to_string(outcome.value().status) + " " + outcome.value().body : outcome.error().detail;
+        return outcome && outcome.value().status == 200;
+    };
+    if (!this->http.waitUntil(isAccepted, Site::waitLimit))
+        throw std::runtime_error("document is not accepted: " + last);
+    return parseJsonObject(last.substr(last.find(' ') + 1)).value()["revision"].asUInt64();
+}
+
+void Site::recordLimits(bool raised)
+{
+    for (const auto& [team, limit] : this->operatorsDocument.teamLimits()) {
+        auto known = this->recordedLimits.find(team);
+        bool isRaise = known == this->recordedLimits.end() || known->second < limit;
+        bool isLoss = !isRaise && known->second > limit;
+        if (raised ? !isRaise : !isLoss)
+            continue;
+        this->recordedLimits[team] = limit;
+        this->operatorHistory->append(
+            LogLine("limit").add("team", team).add("limit", limit).add("at", HistoryFile::now()));
+    }
+}
+
+void Site::recordWithdrawals()
+{
+    for (const auto& key : this->operatorsDocument.withdrawnKeys()) {
+        if (this->recordedWithdrawals.insert(key).second)
+            this->operatorHistory->append(LogLine("withdrawn").add("key", key).add("at", HistoryFile::now()));
+    }
+}
+
+void Site::controlStore(const Json::Value& settings)
+{
+    this->http.post(SiteLayout::storeAddress(), this->places.storeControlPort(), "/control", settings);
+}
+
+void Site::controlEndpoints(const Json::Value& settings)
+{
+    this->http.post(SiteLayout::storeAddress(), this->places.minionControlPort(), "/control", settings);
+}
+
+void Site::controlRelay(const Json::Value& settings)
+{
+    this->http.post(SiteLayout::storeAddress(), this->places.relayControlPort(), "/control", settings);
+}
+
+std::string Site::fullLoad(const std::string& load) const
+{
+    auto queue = KeyValueLine::parse(load).value().text("queue");
+    auto isQueue = [&queue](const ServicePlan& service) { return service.queue == queue; };
+    auto service = std::find_if(this->plan.services.begin(), this->plan.services.end(), isQueue);
+    if (service == this->plan.services.end())
+        throw std::runtime_error("no queue " + queue);
+    return fmt::format("{} team={} bearer={} idempotent={}", load, service->team, SiteDocument::bearer(service->team),
+        service->idempotent);
+}
+
+ChildProcess& Site::startCallers(const std::string& name, const std::vector<std::string>& loads, Milliseconds duration,
+    const std::vector<std::string>& options, const std::vector<std::size_t>& daemonIndices)
+{
+    std::vector<std::string> command { "standin-caller", "--name", name, "--history",
+        this->file(name + std::string(historySuffix)), "--duration-ms", std::to_string(duration.count()) };
+    for (int zone = 1; zone <= this->plan.zones; ++zone)
+        command.insert(command.end(), { "--source", SiteLayout::callerAddress(zone) });
+    for (std::size_t index = 0; index < this->daemons.size(); ++index) {
+        bool isChosen = daemonIndices.empty()
+            || std::find(daemonIndices.begin(), daemonIndices.end(), index) != daemonIndices.end();
+        auto where = fmt::format("{}:{}", this->places.daemons()[index].address, this->places.callerPort());
+        if (isChosen)
+            command.insert(command.end(), { "--daemon", where });
+    }
+    for (const auto& load : loads)
+        command.insert(command.end(), { "--load", this->fullLoad(load) });
+    command.insert(command.end(), options.begin(), options.end());
+    this->callers.push_back(this->start(name, command));
+    return *this->callers.back();
+}
+
+bool Site::waitForCallers(Milliseconds limit)
+{
+    auto allEnded = [this] {
+        return std::all_of(
+            this->callers.begin(), this->callers.end(), [](const auto& caller) { return caller->exitStatus() == 0; });
+    };
+    return this->http.waitUntil(allEnded, limit);
+}
+
+bool Site::stopDaemons(Milliseconds limit)
+{
+    for (const auto& daemon : this->daemons)
+        daemon->signal(SIGTERM);
+    auto allEnded = [this] {
+        return std::all_of(
+            this->daemons.begin(), this->daemons.end(), [](const auto& daemon) { return daemon->exitStatus() == 0; });
+    };
+    return this->http.waitUntil(allEnded, limit);
+}
+
+HistoryVerdict Site::verdict() const
+{
+    HistoryReader reader;
+    for (const auto& entry : std::filesystem::directory_iterator(this->folder)) {
+        if (entry.path().extension() != historySuffix)
+            continue;
+        auto read = reader.readFile(entry.path().string());
+        if (!read)
+            throw std::runtime_error(read.error());
+    }
+    return HistoryChecker(reader.history()).check();
+}
+
+} // namespace Greengage
--- /dev/null
+++ b/tests/support/SiteLayout.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <tests/support/DaemonPlace.h>
+#include <tests/support/EndpointPlace.h>
+#include <tests/support/PortBlock.h>
+#include <tests/support/SitePlan.h>
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace Greengage {
+
+/// The addresses and ports of a test site. All daemons have the same ports on addresses of their own.
+class SiteLayout {
+public:
+    explicit SiteLayout(const SitePlan&);
+
+    static std::string storeAddress() { return "127.3.0.1"; }
+    /// Where callers of a zone come from.
+    static std::string callerAddress(int zone) { return "127.4." + std::to_string(zone) + ".1"; }
+    /// Beginning of the addresses of a zone's daemons and of its endpoints.
+    static std::string daemonPrefix(int zone) { return "127.1." + std::to_string(zone) + "."; }
+    static std::string endpointPrefix(int zone) { return "127.2." + std::to_string(zone) + "."; }
+
+    std::uint16_t callerPort() const { return this->ports.port(0); }
+    std::uint16_t adminPort() const { return this->ports.port(1); }
+    std::uint16_t meshPort() const { return this->ports.port(2); }
+    std::uint16_t storePort() const { return this->ports.port(3); }
+    std::uint16_t storeControlPort() const { return this->ports.port(4); }
+    std::uint16_t endpointPort() const { return this->ports.port(5); }
+    std::uint16_t minionControlPort() const { return this->ports.port(6); }
+    std::uint16_t relayControlPort() const { return this->ports.port(7); }
+    std::uint16_t relayedMeshPort() const { return this->ports.port(8); }
+    std::uint16_t relayedEndpointPort() const { return this->ports.port(9); }
+    std::uint16_t relayedStorePort() const { return this->ports.port(10); }
+
+    const std::vector<DaemonPlace>& daemons() const { return this->daemonPlaces; }
+    const std::vector<EndpointPlace>& endpoints() const { return this->endpointPlaces; }
+
+    /// The VM ids of each service.
+    std::map<std::string, std::vector<std::string>> vmsByService() const;
+
+private:
+    void placeDaemons(const SitePlan&);
+    void placeEndpoints(const SitePlan&);
+
+    PortBlock ports;
+    std::vector<DaemonPlace> daemonPlaces;
+    std::vector<EndpointPlace> endpointPlaces;
+};
+
+} // namespace Greengage
--- /dev/null
+++ b/tests/support/SitePlan.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <tests/support/ServicePlan.h>
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace Greengage {
+
+/// What a test site consists of.
+struct SitePlan {
+    /// Availability zone of each daemon, from 1.
+    std::vector<int> daemonZones { 1, 1, 2, 2, 3, 3, 4 };
+    int zones = 4;
+    std::vector<ServicePlan> services;
+    /// Upper limit of each team.
+    std::map<std::string, int> limits;
+    /// Whether daemons reach each other, the store and the endpoints through the relay.
+    bool relayed = false;
+    /// Run time of work that names none.
+    int runMilliseconds = 20;
+
+    /// Five services of 8 to 12 endpoints, about 50 in all, and four teams.
+    static SitePlan workshop();
+
+    /// Two daemons in each of two zones and two services of four endpoints, one of which may not repeat requests.
+    static SitePlan small();
+};
+
+} // namespace Greengage
