Add the gateway: callers' HTTP server and endpoints' HTTP client

Cause: the request plane decides, but nothing carried its messages to callers and endpoints. An attempt ends exactly once; whether a byte has left is read off the output buffer; a connection that broke, timed out or answered another request is closed. Callers are bounded in connections, headers, body bytes, bytes held in all and time per request. The comment on max_connections in the settings says what happens beyond it. Conclusion: ready to be wired into the daemon.

--- a/modules/config/settings/CallerSettings.h
+++ b/modules/config/settings/CallerSettings.h
@@ -7,7 +7,7 @@
 /// The HTTP server that callers connect to.
 struct CallerSettings {
     std::uint16_t port = 0;
-    /// Connections beyond this number are closed at once.
+    /// Connections beyond this number wait in the kernel until one is closed.
     int maxConnections = 2048;
     int maxHeaderBytes = 16 * 1024;
     int maxBodyBytes = 1024 * 1024;
--- /dev/null
+++ b/modules/gateway/Gateway.cpp
@@ -0,0 +1,50 @@
+#include <gateway/Gateway.h>
+
+#include <gateway/callers/PendingCall.h>
+
+#include <fleet/requests/RequestOutput.h>
+
+namespace Greengage {
+
+Gateway::Gateway(
+    event_base& base, std::string address, const CallerLimits& limits, IncarnationId self, Handlers handlers)
+    : address(std::move(address))
+    , handlers(std::move(handlers))
+    , callers(base, limits, self,
+          { [this](RequestArrived arrived) { this->handlers.input(std::move(arrived)); },
+              [this](CallerLeft left) { this->handlers.input(std::move(left)); },
+              [this](CallerRefusal refusal) { this->handlers.refused(refusal); },
+              [this] { return this->handlers.isHealthy(); }, [this] { return this->handlers.metricsPage(); } })
+    , endpoints(base, this->address, self)
+{
+}
+
+Result<void, GatewayError> Gateway::listen(std::uint16_t callersPort)
+{
+    return this->callers.listen(this->address, callersPort);
+}
+
+void Gateway::send(const SendAttempt& attempt)
+{
+    const PendingCall* call = this->callers.find(attempt.request);
+    if (!call) {
+        this->handlers.input(
+            AttemptEnded { attempt.request, attempt.attempt, attempt.endpoint, AttemptResult::NotSent });
+        return;
+    }
+    this->endpoints.send(attempt, call->queue, call->body, [this](const AttemptEnded& ended, EndpointAnswer answer) {
+        PendingCall* waiting = this->callers.find(ended.request);
+        if (waiting && ended.result == AttemptResult::Answered)
+            waiting->answers[ended.attempt] = std::move(answer);
+        this->handlers.input(ended);
+    });
+}
+
+void Gateway::answer(const AnswerCaller& answer) { this->callers.answer(answer); }
+
+void Gateway::askRunning(const AskRunning& question)
+{
+    this->endpoints.askRunning(question, [this](RunningReported report) { this->handlers.input(std::move(report)); });
+}
+
+} // namespace Greengage
--- /dev/null
+++ b/modules/gateway/Gateway.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <core/errors/Result.h>
+#include <core/text/Identifier.h>
+#include <fleet/requests/RequestInput.h>
+#include <gateway/callers/CallerServer.h>
+#include <gateway/endpoints/EndpointClient.h>
+#include <gateway/http/GatewayError.h>
+
+#include <cstdint>
+#include <functional>
+#include <string>
+
+struct event_base;
+
+namespace Greengage {
+
+struct AnswerCaller;
+struct AskRunning;
+struct SendAttempt;
+
+/// Joins callers and endpoints: turns what comes from either side into inputs of the request plane, and carries the
+/// plane's outputs out.
+class Gateway {
+public:
+    struct Handlers {
+        std::function<void(RequestInput)> input;
+        std::function<void(CallerRefusal)> refused;
+        std::function<bool()> isHealthy;
+        std::function<std::string()> metricsPage;
+    };
+
+    /// `address` is the daemon's own: callers' connections come to it, and those to endpoints are bound to it.
+    Gateway(event_base&, std::string address, const CallerLimits&, IncarnationId self, Handlers);
+
+    Result<void, GatewayError> listen(std::uint16_t callersPort);
+    void stopAccepting() { this->callers.stopAccepting(); }
+
+    void send(const SendAttempt&);
+    void answer(const AnswerCaller&);
+    void askRunning(const AskRunning&);
+
+    /// Whether no caller waits for an answer and no exchange with an endpoint is under way.
+    bool isIdle() const { return this->callers.pendingCalls() == 0 && this->endpoints.active() == 0; }
+
+    int callerConnections() const { return this->callers.connections(); }
+
+private:
+    std::string address;
+    Handlers handlers;
+    CallerServer callers;
+    EndpointClient endpoints;
+};
+
+} // namespace Greengage
--- /dev/null
+++ b/modules/gateway/callers/CallerServer.cpp
@@ -0,0 +1,215 @@
+#include <gateway/callers/CallerServer.h>
+
+#include <core/time/BootClock.h>
+#include <fleet/requests/messages/AnswerCaller.h>
+#include <fleet/requests/messages/CallerLeft.h>
+#include <fleet/requests/messages/RequestArrived.h>
+#include <gateway/callers/OutcomeResponse.h>
+#include <gateway/callers/RequestParser.h>
+#include <gateway/http/HttpBuffers.h>
+
+#include <cerrno>
+#include <cstring>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <string_view>
+
+namespace Greengage {
+
+namespace {
+
+constexpr std::string_view queuesPrefix = "/v1/queues/";
+constexpr std::size_t maxQueueNameBytes = 128;
+constexpr int statusOk = 200;
+constexpr int statusUnavailable = 503;
+
+std::string pathOf(const evhttp_request& request)
+{
+    const evhttp_uri* uri = evhttp_request_get_evhttp_uri(&request);
+    const char* path = uri ? evhttp_uri_get_path(uri) : nullptr;
+    return path ? path : "";
+}
+
+} // namespace
+
+CallerServer::CallerServer(event_base& base, const CallerLimits& limits, IncarnationId self, Handlers handlers)
+    : base(base)
+    , limits(limits)
+    , self(std::move(self))
+    , handlers(std::move(handlers))
+    , limiter(base, limits.maxConnections, limits.idleTimeout)
+{
+}
+
+CallerServer::~CallerServer()
+{
+    for (auto& [connection, request] : this->callOfConnection)
+        evhttp_connection_set_closecb(connection, nullptr, nullptr);
+}
+
+Result<void, GatewayError> CallerServer::listen(const std::string& address, std::uint16_t port)
+{
+    this->server.reset(evhttp_new(&this->base));
+    evhttp_set_max_headers_size(this->server.get(), static_cast<ev_ssize_t>(this->limits.maxHeaderBytes));
+    evhttp_set_max_body_size(this->server.get(), static_cast<ev_ssize_t>(this->limits.maxBodyBytes));
+    evhttp_set_allowed_methods(
+        this->server.get(), EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE | EVHTTP_REQ_HEAD);
+    evhttp_set_gencb(
+        this->server.get(),
+        [](evhttp_request* request, void* server) { static_cast<CallerServer*>(server)->handleRequest(*request); },
+        this);
+    evhttp_bound_socket* socket = evhttp_bind_socket_with_handle(this->server.get(), address.c_str(), port);
+    if (!socket)
+        return failure(
+            GatewayError { "cannot listen on " + address + ":" + std::to_string(port) + ": " + std::strerror(errno) });
+    this->limiter.attach(*this->server, *socket);
+    this->isAccepting = true;
+    return success();
+}
+
+void CallerServer::stopAccepting()
+{
+    if (!this->isAccepting)
+        return;
+    this->isAccepting = false;
+    this->limiter.stopAccepting();
+}
+
+PendingCall* CallerServer::find(const RequestId& request)
+{
+    auto found = this->calls.find(request);
+    return found == this->calls.end() ? nullptr : &found->second;
+}
+
+void CallerServer::handleRequest(evhttp_request& request)
+{
+    this->limiter.requestArrived(evhttp_request_get_connection(&request));
+    std::string path = pathOf(request);
+    evhttp_cmd_type method = evhttp_request_get_command(&request);
+    bool isPage = path == "/healthz" || path == "/metrics";
+    bool isQueue = path.compare(0, queuesPrefix.size(), queuesPrefix) == 0;
+    if (!isPage && !isQueue)
+        this->refuse(request, CallerRefusal::UnknownPath, "use POST /v1/queues/<queue>");
+    else if (method != (isPage ? EVHTTP_REQ_GET : EVHTTP_REQ_POST))
+        this->refuse(request, CallerRefusal::MethodNotAllowed, isPage ? "use GET" : "use POST");
+    else if (isQueue)
+        this->acceptCall(request, path.substr(queuesPrefix.size()));
+    else if (path == "/metrics")
+        this->send(
+            request, { statusOk, { { "Content-Type", "text/plain; version=0.0.4" } }, this->handlers.metricsPage() });
+    else if (this->handlers.isHealthy())
+        this->send(request, { statusOk, {}, "ok\n" });
+    else
+        this->send(request, { statusUnavailable, {}, "not serving\n" });
+}
+
+void CallerServer::acceptCall(evhttp_request& request, const std::string& queue)
+{
+    auto parsed = parseRequestHeaders(*evhttp_request_get_input_headers(&request), BootClock::now());
+    if (!parsed.has_value()) {
+        this->refuse(request, CallerRefusal::Malformed, parsed.error().detail);
+        return;
+    }
+    if (queue.empty() || queue.size() > maxQueueNameBytes) {
+        this->refuse(request, CallerRefusal::Malformed, "a queue's name has 1 to 128 bytes");
+        return;
+    }
+    evbuffer& body = *evhttp_request_get_input_buffer(&request);
+    RequestArrived arrived = std::move(parsed.value());
+    arrived.bodyBytes = evbuffer_get_length(&body);
+    if (this->heldBodyBytes + arrived.bodyBytes > this->limits.maxHeldBodyBytes) {
+        this->refuse(request, CallerRefusal::BodiesFull, "the daemon holds as many bytes of requests as it may");
+        return;
+    }
+    arrived.request = RequestId(this->self.string() + "-" + std::to_string(this->nextRequest++));
+    arrived.queue = QueueId(queue);
+    this->heldBodyBytes += arrived.bodyBytes;
+    this->calls.emplace(arrived.request, PendingCall { &request, arrived.queue, takeBytes(body), {} });
+    evhttp_connection* connection = evhttp_request_get_connection(&request);
+    this->callOfConnection[connection] = arrived.request;
+    this->watchForClose(connection);
+    this->handlers.requestArrived(std::move(arrived));
+}
+
+/// Reads on while a request waits for its answer, because a caller that leaves is seen only by a read. What a caller
+/// sends ahead stays in the buffer, up to the size of one request's headers.
+void CallerServer::watchForClose(evhttp_connection* connection)
+{
+    evhttp_connection_set_closecb(
+        connection,
+        [](evhttp_connection* closed, void* server) { static_cast<CallerServer*>(server)->handleClosed(closed); },
+        this);
+    bufferevent* transport = evhttp_connection_get_bufferevent(connection);
+    bufferevent_data_cb writeCallback = nullptr;
+    bufferevent_event_cb eventCallback = nullptr;
+    void* argument = nullptr;
+    bufferevent_getcb(transport, nullptr, &writeCallback, &eventCallback, &argument);
+    bufferevent_setcb(transport, nullptr, writeCallback, eventCallback, argument);
+    bufferevent_setwatermark(transport, EV_READ, 0, this->limits.maxHeaderBytes);
+    bufferevent_enable(transport, EV_READ);
+}
+
+void CallerServer::handleClosed(evhttp_connection* connection)
+{
+    auto found = this->callOfConnection.find(connection);
+    if (found == this->callOfConnection.end())
+        return;
+    RequestId request = found->second;
+    evhttp_request* handle = this->calls.at(request).handle;
+    this->release(request, connection);
+    // evhttp takes an unanswered request off a connection that breaks, and leaves it to us.
+    if (!evhttp_request_get_connection(handle))
+        evhttp_request_free(handle);
+    this->handlers.callerLeft({ request });
+}
+
+void CallerServer::answer(const AnswerCaller& answer)
+{
+    PendingCall* call = this->find(answer.request);
+    if (!call)
+        return;
+    evhttp_request& handle = *call->handle;
+    OutcomeResponse response;
+    auto endpointAnswer = call->answers.find(answer.attempt);
+    if (answer.outcome == Outcome::Answered && endpointAnswer != call->answers.end())
+        response = toAnsweredResponse(answer, endpointAnswer->second);
+    else
+        response = toUnansweredResponse(answer);
+    evhttp_connection* connection = evhttp_request_get_connection(&handle);
+    this->release(answer.request, connection);
+    evhttp_connection_set_closecb(connection, nullptr, nullptr);
+    bufferevent_setwatermark(evhttp_connection_get_bufferevent(connection), EV_READ, 0, 0);
+    this->send(handle, response);
+}
+
+/// Forgets a request; its handle stays valid for whoever answers it next.
+void CallerServer::release(const RequestId& request, evhttp_connection* connection)
+{
+    auto found = this->calls.find(request);
+    this->callOfConnection.erase(connection);
+    this->heldBodyBytes -= found->second.body.size();
+    this->calls.erase(found);
+}
+
+void CallerServer::refuse(evhttp_request& request, CallerRefusal refusal, const std::string& detail)
+{
+    this->handlers.refused(refusal);
+    this->send(request, toRefusalResponse(refusal, detail));
+}
+
+void CallerServer::send(evhttp_request& request, const OutcomeResponse& response)
+{
+    evkeyvalq* headers = evhttp_request_get_output_headers(&request);
+    for (const HttpHeader& header : response.headers)
+        evhttp_add_header(headers, header.name.c_str(), header.value.c_str());
+    if (!this->isAccepting)
+        evhttp_add_header(headers, "Connection", "close");
+    evbuffer* body = evhttp_request_get_output_buffer(&request);
+    evbuffer_add(body, response.body.data(), response.body.size());
+    this->limiter.requestAnswered(evhttp_request_get_connection(&request));
+    evhttp_send_reply(&request, response.status, nullptr, nullptr);
+}
+
+} // namespace Greengage
--- /dev/null
+++ b/modules/gateway/endpoints/EndpointClient.cpp
@@ -0,0 +1,178 @@
+#include <gateway/endpoints/EndpointClient.h>
+
+#include <core/time/BootClock.h>
+#include <fleet/requests/messages/AskRunning.h>
+#include <fleet/requests/messages/AttemptEnded.h>
+#include <fleet/requests/messages/RunningReported.h>
+#include <fleet/requests/messages/SendAttempt.h>
+#include <gateway/endpoints/EndpointConnection.h>
+#include <gateway/endpoints/RunningParser.h>
+#include <gateway/http/HeaderNames.h>
+
+#include <algorithm>
+
+namespace Greengage {
+
+namespace {
+
+constexpr std::size_t maxIdlePerEndpoint = 8;
+constexpr Seconds idleTimeout { 15 };
+constexpr Seconds sweepInterval { 1 };
+constexpr Milliseconds askRunningTimeout { 1000 };
+constexpr int statusOk = 200;
+constexpr int statusMisdirected = 421;
+constexpr int statusUnavailable = 503;
+
+AttemptResult toAttemptResult(const ExchangeResult& result, const RequestId& request)
+{
+    switch (result.end) {
+    case ExchangeEnd::NotSent:
+        return AttemptResult::NotSent;
+    case ExchangeEnd::Broken:
+        return AttemptResult::Broken;
+    case ExchangeEnd::TimedOut:
+        return AttemptResult::Silent;
+    case ExchangeEnd::Completed:
+        break;
+    }
+    if (result.echoedRequest != request.string())
+        return AttemptResult::Broken;
+    if (result.status == statusUnavailable || result.status == statusMisdirected)
+        return AttemptResult::Refused;
+    return AttemptResult::Answered;
+}
+
+ExchangeRequest toExchange(
+    const SendAttempt& attempt, const QueueId& queue, const std::string& body, const IncarnationId& self)
+{
+    ExchangeRequest request;
+    request.isPost = true;
+    request.path = "/run";
+    request.headers = {
+        { HeaderNames::request, attempt.request.string() },
+        { HeaderNames::attempt, std::to_string(attempt.attempt) },
+        { HeaderNames::team, attempt.team.string() },
+        { HeaderNames::incarnation, self.string() },
+        { HeaderNames::queue, queue.string() },
+        { HeaderNames::endpoint, attempt.endpoint.string() },
+        { "Content-Type", "application/octet-stream" },
+    };
+    request.body = body;
+    request.notAfter = attempt.notAfter;
+    request.answerBy = attempt.answerBy;
+    return request;
+}
+
+} // namespace
+
+EndpointClient::EndpointClient(event_base& base, std::string sourceAddress, IncarnationId self)
+    : base(base)
+    , sourceAddress(std::move(sourceAddress))
+    , self(std::move(self))
+    , cleanup(base, [this] { this->retired.clear(); })
+    , sweep(base, [this] {
+        this->closeExpired();
+        this->sweep.schedule(sweepInterval);
+    })
+{
+    this->sweep.schedule(sweepInterval);
+}
+
+EndpointClient::~EndpointClient() = default;
+
+void EndpointClient::send(
+    const SendAttempt& attempt, const QueueId& queue, const std::string& body, AttemptCallback attemptEnded)
+{
+    AttemptEnded ended { attempt.request, attempt.attempt, attempt.endpoint, AttemptResult::NotSent };
+    auto finished = [ended, attemptEnded = std::move(attemptEnded)](ExchangeResult result) mutable {
+        ended.result = toAttemptResult(result, ended.request);
+        EndpointAnswer answer;
+        if (ended.result == AttemptResult::Answered)
+            answer = { result.status, std::move(result.contentType), std::move(result.body) };
+        attemptEnded(ended, std::move(answer));
+    };
+    EndpointAddress address { attempt.endpoint, attempt.address, attempt.port };
+    this->exchange(address, attempt.freshConnection, toExchange(attempt, queue, body, this->self), std::move(finished));
+}
+
+void EndpointClient::askRunning(const AskRunning& question, RunningCallback reported)
+{
+    Instant now = BootClock::now();
+    ExchangeRequest request;
+    request.path = "/running";
+    request.headers = { { HeaderNames::endpoint, question.endpoint.string() } };
+    request.notAfter = Deadline::after(now, askRunningTimeout);
+    request.answerBy = request.notAfter;
+    RunningReported report { question.endpoint, now, {} };
+    auto finished = [report, reported = std::move(reported)](const ExchangeResult& result) mutable {
+        if (result.end != ExchangeEnd::Completed || result.status != statusOk)
+            return;
+        auto running = parseRunning(result.body);
+        if (!running.has_value())
+            return;
+        report.running = std::move(running.value());
+        reported(std::move(report));
+    };
+    this->exchange({ question.endpoint, question.address, question.port }, false, request, std::move(finished));
+}
+
+void EndpointClient::exchange(
+    const EndpointAddress& address, bool freshConnection, const ExchangeRequest& request, ExchangeCallback finished)
+{
+    ConnectionPointer connection = this->takeConnection(address, freshConnection);
+    EndpointConnection& started = *connection;
+    std::uint64_t id = this->nextExchange++;
+    this->busy.emplace(id, std::move(connection));
+    std::string expectedEcho;
+    for (const HttpHeader& header : request.headers) {
+        if (header.name == HeaderNames::request)
+            expectedEcho = header.value;
+    }
+    started.start(request, [this, id, expectedEcho, finished = std::move(finished)](ExchangeResult result) {
+        bool ownAnswer = result.end == ExchangeEnd::Completed && result.echoedRequest == expectedEcho;
+        this->release(id, ownAnswer);
+        finished(std::move(result));
+    });
+}
+
+EndpointClient::ConnectionPointer EndpointClient::takeConnection(const EndpointAddress& address, bool freshConnection)
+{
+    auto found = this->idle.find(address);
+    while (!freshConnection && found != this->idle.end() && !found->second.empty()) {
+        ConnectionPointer connection = std::move(found->second.back());
+        found->second.pop_back();
+        if (connection->isReusable())
+            return connection;
+        this->retired.push_back(std::move(connection));
+        this->cleanup.schedule(Microseconds::zero());
+    }
+    return std::make_unique<EndpointConnection>(this->base, address, this->sourceAddress);
+}
+
+void EndpointClient::release(std::uint64_t exchange, bool keep)
+{
+    auto found = this->busy.find(exchange);
+    ConnectionPointer connection = std::move(found->second);
+    this->busy.erase(found);
+    std::vector<ConnectionPointer>& resting = this->idle[connection->address()];
+    if (keep && connection->isReusable() && resting.size() < maxIdlePerEndpoint) {
+        connection->idleUntil = Deadline::after(BootClock::now(), idleTimeout);
+        resting.push_back(std::move(connection));
+        return;
+    }
+    this->retired.push_back(std::move(connection));
+    this->cleanup.schedule(Microseconds::zero());
+}
+
+void EndpointClient::closeExpired()
+{
+    Instant now = BootClock::now();
+    for (auto& [address, connections] : this->idle) {
+        std::erase_if(connections, [now](const ConnectionPointer& connection) {
+            return !connection->isReusable() || connection->idleUntil.hasPassed(now);
+        });
+    }
+    std::erase_if(this->idle, [](const auto& entry) { return entry.second.empty(); });
+}
+
+} // namespace Greengage
--- /dev/null
+++ b/modules/gateway/endpoints/ExchangeRequest.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <core/time/Deadline.h>
+#include <gateway/http/HttpHeader.h>
+
+#include <string>
+#include <vector>
+
+namespace Greengage {
+
+/// One HTTP request to an endpoint.
+struct ExchangeRequest {
+    bool isPost = false;
+    std::string path;
+    std::vector<HttpHeader> headers;
+    std::string body;
+    /// Last instant at which the first byte may leave.
+    Deadline notAfter;
+    /// Last instant at which the answer may come.
+    Deadline answerBy;
+};
+
+} // namespace Greengage
--- /dev/null
+++ b/modules/gateway/endpoints/RunningParser.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <core/errors/Result.h>
+#include <fleet/requests/messages/RunningReported.h>
+#include <gateway/http/GatewayError.h>
+
+#include <string>
+#include <vector>
+
+namespace Greengage {
+
+/// Parses an endpoint's list of running work. The error says what was wrong.
+Result<std::vector<RunningWork>, GatewayError> parseRunning(const std::string& body);
+
+} // namespace Greengage
--- /dev/null
+++ b/modules/gateway/http/HttpHeader.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include <string>
+
+namespace Greengage {
+
+/// One header of an HTTP message.
+struct HttpHeader {
+    std::string name;
+    std::string value;
+};
+
+} // namespace Greengage
