Add the messages between daemons

Cause: daemons must learn each other's state and, while the store is out, fetch the document from each other. Ruled out: the library's own connectors (they start threads) and its client (it blocks and does not compile as C++20). The library numbers each batch from one, so the number that tells calls apart is a parameter and is echoed. Change: package mesh: MeshServer on a connector of our own, MeshClient with batches over a bufferevent, and the codec of peer states. A call that times out closes its connection; lines, waiting answers and calls under way are bounded. Before and after: with the call's number ignored, answerToAnotherCallIsNotTaken fails; with the connection kept after a timeout, silentConnectionIsReplaced fails; as committed mesh_tests gives 6 passed, gateway_tests 21 passed, 0 failed. Conclusion: ready to be wired into the daemon.

--- a/modules/gateway/endpoints/RunningParser.cpp
+++ b/modules/gateway/endpoints/RunningParser.cpp
@@ -1,8 +1,8 @@
 #include <gateway/endpoints/RunningParser.h>
 
-#include <json/reader.h>
+#include <config/document/JsonText.h>
+
 #include <json/value.h>
-#include <memory>
 
 namespace Greengage {
 
@@ -16,12 +16,10 @@
 
 Result<std::vector<RunningWork>, GatewayError> parseRunning(const std::string& body)
 {
-    Json::CharReaderBuilder builder;
-    std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
-    Json::Value root;
-    std::string problem;
-    if (!reader->parse(body.data(), body.data() + body.size(), &root, &problem))
-        return failure(GatewayError { problem });
+    auto parsed = parseJson(body);
+    if (!parsed.has_value())
+        return failure(GatewayError { parsed.error().message });
+    const Json::Value& root = parsed.value();
     if (!root.isObject() || !root["running"].isArray() || root["running"].size() > maxRunning)
         return failure(GatewayError { "\"running\" is not a list of at most 1024 entries" });
     std::vector<RunningWork> running;
--- a/modules/gateway/tests/CallerServerTests.cpp
+++ b/modules/gateway/tests/CallerServerTests.cpp
@@ -4,7 +4,7 @@
 #include <fleet/requests/messages/CallerLeft.h>
 #include <fleet/requests/messages/RequestArrived.h>
 #include <gateway/callers/CallerServer.h>
-#include <gateway/tests/LoopRunner.h>
+#include <support/LoopRunner.h>
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
--- a/modules/gateway/tests/EndpointClientTests.cpp
+++ b/modules/gateway/tests/EndpointClientTests.cpp
@@ -6,8 +6,8 @@
 #include <fleet/requests/messages/RunningReported.h>
 #include <fleet/requests/messages/SendAttempt.h>
 #include <gateway/endpoints/EndpointClient.h>
-#include <gateway/tests/LoopRunner.h>
-#include <gateway/tests/ScriptedServer.h>
+#include <support/LoopRunner.h>
+#include <support/ScriptedServer.h>
 
 #include <optional>
 
--- /dev/null
+++ b/modules/mesh/MeshServer.cpp
@@ -0,0 +1,87 @@
+#include <mesh/MeshServer.h>
+
+#include <config/document/DocumentCodec.h>
+#include <config/model/DocumentRecord.h>
+#include <mesh/codec/PeerStateCodec.h>
+#include <mesh/rpc/LineConnector.h>
+#include <mesh/rpc/MethodNames.h>
+
+#include <jsonrpccpp/common/errors.h>
+#include <jsonrpccpp/common/exception.h>
+#include <jsonrpccpp/server/abstractserver.h>
+
+namespace Greengage {
+
+/// The methods, bound to libjsonrpccpp's server.
+class MeshServer::Implementation : public jsonrpc::AbstractServer<MeshServer::Implementation> {
+public:
+    Implementation(event_base& base, const std::string& address, std::uint16_t port, Handlers handlers)
+        : Implementation(std::make_unique<LineConnector>(base, address, port), std::move(handlers))
+    {
+    }
+
+    void exchangeState(const Json::Value& parameters, Json::Value& result)
+    {
+        auto peer = PeerStateCodec::fromJson(parameters["state"]);
+        if (!peer.has_value())
+            refuse(parameters, peer.error().detail);
+        result["call"] = parameters["call"];
+        result["value"] = PeerStateCodec::toJson(this->handlers.exchangeState(peer.value()));
+    }
+
+    void fetchDocument(const Json::Value& parameters, Json::Value& result)
+    {
+        const DocumentRecord* record = this->handlers.currentDocument();
+        if (!record || !parameters["revision"].isUInt64() || record->revision < parameters["revision"].asUInt64())
+            refuse(parameters, "no such revision here");
+        result["call"] = parameters["call"];
+        result["value"] = DocumentCodec::toJson(*record);
+    }
+
+    LineConnector& lines() { return *this->connector; }
+
+private:
+    /// Ends a call with an error that says which call it was; the library turns the exception into the answer.
+    [[noreturn]] static void refuse(const Json::Value& parameters, const std::string& detail)
+    {
+        Json::Value data(Json::objectValue);
+        data["call"] = parameters["call"];
+        throw jsonrpc::JsonRpcException(jsonrpc::Errors::ERROR_RPC_INVALID_PARAMS, detail, data);
+    }
+
+    Implementation(std::unique_ptr<LineConnector> connector, Handlers handlers)
+        : jsonrpc::AbstractServer<MeshServer::Implementation>(*connector, jsonrpc::JSONRPC_SERVER_V2)
+        , connector(std::move(connector))
+        , handlers(std::move(handlers))
+    {
+        using jsonrpc::Procedure;
+        this->bindAndAddMethod(Procedure(MethodNames::exchangeState, jsonrpc::PARAMS_BY_NAME, jsonrpc::JSON_OBJECT,
+                                   "call", jsonrpc::JSON_INTEGER, "state", jsonrpc::JSON_OBJECT, nullptr),
+            &Implementation::exchangeState);
+        this->bindAndAddMethod(Procedure(MethodNames::fetchDocument, jsonrpc::PARAMS_BY_NAME, jsonrpc::JSON_OBJECT,
+                                   "call", jsonrpc::JSON_INTEGER, "revision", jsonrpc::JSON_INTEGER, nullptr),
+            &Implementation::fetchDocument);
+    }
+
+    std::unique_ptr<LineConnector> connector;
+    Handlers handlers;
+};
+
+MeshServer::MeshServer(event_base& base, std::string address, std::uint16_t port, Handlers handlers)
+    : implementation(std::make_unique<Implementation>(base, address, port, std::move(handlers)))
+{
+}
+
+MeshServer::~MeshServer() = default;
+
+Result<void, MeshError> MeshServer::listen()
+{
+    if (!this->implementation->lines().StartListening())
+        return MeshError { MeshErrorCode::Disconnected, "cannot listen for other daemons" };
+    return success();
+}
+
+std::uint64_t MeshServer::bytesReceived() const { return this->implementation->lines().bytesReceived(); }
+std::uint64_t MeshServer::bytesSent() const { return this->implementation->lines().bytesSent(); }
+
+} // namespace Greengage
--- /dev/null
+++ b/modules/mesh/MeshServer.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <core/errors/Result.h>
+#include <fleet/peers/PeerState.h>
+#include <mesh/MeshError.h>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+struct event_base;
+
+namespace Greengage {
+
+struct DocumentRecord;
+
+/// Answers the calls of other daemons.
+class MeshServer {
+public:
+    struct Handlers {
+        /// A peer tells its state and asks for ours. How long the message was under way is not known, so its ages must
+        /// not be relied on.
+        std::function<PeerState(const PeerState& peer)> exchangeState;
+        /// The record of the document in force here, or null if there is none.
+        std::function<const DocumentRecord*()> currentDocument;
+    };
+
+    MeshServer(event_base&, std::string address, std::uint16_t port, Handlers);
+    ~MeshServer();
+
+    MeshServer(const MeshServer&) = delete;
+    MeshServer& operator=(const MeshServer&) = delete;
+
+    /// Starts to accept connections. The error says which address could not be bound.
+    Result<void, MeshError> listen();
+
+    std::uint64_t bytesReceived() const;
+    std::uint64_t bytesSent() const;
+
+private:
+    class Implementation;
+    std::unique_ptr<Implementation> implementation;
+};
+
+} // namespace Greengage
--- /dev/null
+++ b/modules/mesh/codec/PeerStateCodec.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <core/errors/Result.h>
+#include <fleet/peers/PeerState.h>
+#include <mesh/MeshError.h>
+
+namespace Json {
+class Value;
+}
+
+namespace Greengage {
+
+/// Turns peer states into JSON and back. Decoding refuses missing and mistyped members, negative numbers and lists
+/// longer than any fleet makes them.
+class PeerStateCodec {
+public:
+    static Json::Value toJson(const PeerState&);
+    static Result<PeerState, MeshError> fromJson(const Json::Value&);
+};
+
+} // namespace Greengage
--- /dev/null
+++ b/modules/mesh/rpc/ReplyParser.cpp
@@ -0,0 +1,31 @@
+#include <mesh/rpc/ReplyParser.h>
+
+#include <config/document/JsonText.h>
+
+namespace Greengage {
+
+namespace {
+
+MeshError malformed(const char* detail) { return { MeshErrorCode::Malformed, detail }; }
+
+} // namespace
+
+Result<RpcReply, MeshError> parseReply(const std::string& line)
+{
+    auto parsed = parseJson(line);
+    if (!parsed.has_value())
+        return MeshError { MeshErrorCode::Malformed, parsed.error().message };
+    const Json::Value& batch = parsed.value();
+    if (!batch.isArray() || batch.size() != 1 || !batch[0].isObject())
+        return malformed("an answer is not a batch of one");
+    const Json::Value& reply = batch[0];
+    if (reply["result"].isObject() && reply["result"]["call"].isInt64())
+        return RpcReply { reply["result"]["call"].asInt64(), reply["result"]["value"] };
+    const Json::Value& error = reply["error"];
+    if (!error.isObject() || !error["data"].isObject() || !error["data"]["call"].isInt64())
+        return malformed("an answer does not say which call it is to");
+    std::string message = error["message"].isString() ? error["message"].asString() : "an error without a message";
+    return RpcReply { error["data"]["call"].asInt64(), MeshError { MeshErrorCode::Refused, message } };
+}
+
+} // namespace Greengage
--- /dev/null
+++ b/modules/mesh/tests/MeshTests.cpp
@@ -0,0 +1,151 @@
+#include <boost/test/unit_test.hpp>
+
+#include <config/model/DocumentRecord.h>
+#include <mesh/MeshClient.h>
+#include <mesh/MeshServer.h>
+#include <mesh/codec/PeerStateCodec.h>
+#include <support/LoopRunner.h>
+#include <support/ScriptedServer.h>
+
+#include <json/value.h>
+#include <optional>
+#include <unistd.h>
+
+namespace Greengage {
+
+namespace {
+
+constexpr int basePort = 24900;
+constexpr int portRange = 90;
+
+PeerState makeState()
+{
+    PeerState state;
+    state.daemon = DaemonId("d1");
+    state.incarnation = IncarnationId("i1");
+    state.zone = ZoneId("z1");
+    state.appliedRevision = 7;
+    state.knownRevision = 8;
+    state.confirmationAge = Milliseconds(250);
+    state.shuttingDown = true;
+    state.busyDrainingVms = { VmId("vm9") };
+    state.demand = { { QueueId("q"), TeamId("t"), 3, 4 } };
+    state.sightings = { { IncarnationId("i2"), ZoneId("z2"), Milliseconds::max() } };
+    return state;
+}
+
+struct MeshFixture {
+    LoopRunner loop;
+    std::optional<DocumentRecord> document;
+    std::vector<PeerState> heard;
+    SocketAddress address { "127.0.0.1", static_cast<std::uint16_t>(basePort + getpid() % portRange) };
+    MeshServer server { loop.base(), address.address, address.port,
+        { [this](const PeerState& peer) {
+             this->heard.push_back(peer);
+             PeerState own = peer;
+             own.daemon = DaemonId("d2");
+             return own;
+         },
+            [this] { return this->document ? &*this->document : nullptr; } } };
+    std::optional<Result<PeerState, MeshError>> answer;
+    std::optional<Result<DocumentRecord, MeshError>> fetched;
+
+    MeshFixture() { BOOST_REQUIRE(this->server.listen().has_value()); }
+
+    const Result<PeerState, MeshError>& exchange(MeshClient& client)
+    {
+        this->answer.reset();
+        client.exchangeState(
+            makeState(), [this](Result<PeerState, MeshError> result) { this->answer = std::move(result); });
+        BOOST_TEST(!this->answer.has_value());
+        BOOST_REQUIRE(this->loop.runUntil([this] { return this->answer.has_value(); }));
+        return *this->answer;
+    }
+
+    const Result<DocumentRecord, MeshError>& fetch(MeshClient& client, std::uint64_t revision)
+    {
+        this->fetched.reset();
+        client.fetchDocument(
+            revision, [this](Result<DocumentRecord, MeshError> result) { this->fetched = std::move(result); });
+        BOOST_REQUIRE(this->loop.runUntil([this] { return this->fetched.has_value(); }));
+        return *this->fetched;
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(MeshTests, MeshFixture)
+
+BOOST_AUTO_TEST_CASE(statesAreExchangedWhole)
+{
+    MeshClient client(this->loop.base(), this->address, "127.0.0.1");
+    const auto& result = this->exchange(client);
+    BOOST_REQUIRE(result.has_value());
+    BOOST_TEST(result.value().daemon.string() == "d2");
+    BOOST_REQUIRE(this->heard.size() == 1U);
+    BOOST_TEST((PeerStateCodec::toJson(this->heard[0]) == PeerStateCodec::toJson(makeState())));
+    BOOST_TEST((this->heard[0].sightings[0].age == Milliseconds::max()));
+}
+
+BOOST_AUTO_TEST_CASE(documentIsFetchedOnlyIfNewEnough)
+{
+    MeshClient client(this->loop.base(), this->address, "127.0.0.1");
+    const auto& without = this->fetch(client, 1);
+    BOOST_REQUIRE(!without.has_value());
+    BOOST_TEST((without.error().code == MeshErrorCode::Refused));
+    this->document = DocumentRecord { 5, { { 5, "change", "author", 1, { "team t" } } }, "[team t]\n" };
+    const auto& found = this->fetch(client, 5);
+    BOOST_REQUIRE(found.has_value());
+    BOOST_TEST(found.value().text == "[team t]\n");
+    BOOST_TEST(!this->fetch(client, 6).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(silentConnectionIsReplaced)
+{
+    ScriptedServer silent(this->loop.base(), [](const std::string&) { return ScriptedServer::Reply {}; });
+    MeshClient client(this->loop.base(), { "127.0.0.1", silent.port() }, "127.0.0.1");
+    for (int turn = 1; turn <= 2; ++turn) {
+        const auto& result = this->exchange(client);
+        BOOST_REQUIRE(!result.has_value());
+        BOOST_TEST((result.error().code == MeshErrorCode::TimedOut));
+        BOOST_TEST(silent.connections == turn);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(answerToAnotherCallIsNotTaken)
+{
+    ScriptedServer stale(this->loop.base(), [](const std::string&) {
+        return ScriptedServer::Reply { "[{\"id\":1,\"jsonrpc\":\"2.0\",\"result\":{\"call\":99,\"value\":{}}}]\n" };
+    });
+    MeshClient client(this->loop.base(), { "127.0.0.1", stale.port() }, "127.0.0.1");
+    const auto& result = this->exchange(client);
+    BOOST_REQUIRE(!result.has_value());
+    BOOST_TEST((result.error().code == MeshErrorCode::TimedOut));
+}
+
+BOOST_AUTO_TEST_CASE(malformedAndMissingPeersGiveErrors)
+{
+    ScriptedServer odd(this->loop.base(), [](const std::string&) { return ScriptedServer::Reply { "{]\n" }; });
+    MeshClient client(this->loop.base(), { "127.0.0.1", odd.port() }, "127.0.0.1");
+    BOOST_TEST((this->exchange(client).error().code == MeshErrorCode::Malformed));
+    MeshClient nobody(this->loop.base(), { "127.0.0.1", 1 }, "127.0.0.1");
+    BOOST_TEST((this->exchange(nobody).error().code == MeshErrorCode::Disconnected));
+}
+
+BOOST_AUTO_TEST_CASE(statesWithMissingOrMistypedMembersAreRefused)
+{
+    const Json::Value whole = PeerStateCodec::toJson(makeState());
+    BOOST_REQUIRE(PeerStateCodec::fromJson(whole).has_value());
+    for (const std::string& member : whole.getMemberNames()) {
+        Json::Value damaged = whole;
+        damaged.removeMember(member);
+        BOOST_TEST(!PeerStateCodec::fromJson(damaged).has_value(), "without " << member);
+        damaged[member] = Json::Value(1.5);
+        BOOST_TEST(!PeerStateCodec::fromJson(damaged).has_value(), "with another type of " << member);
+    }
+    BOOST_TEST(!PeerStateCodec::fromJson(Json::Value("text")).has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace Greengage
--- a/modules/gateway/tests/ScriptedServer.cpp
+++ b/tests/support/ScriptedServer.cpp
@@ -1,4 +1,4 @@
-#include <gateway/tests/ScriptedServer.h>
+#include <support/ScriptedServer.h>
 
 #include <arpa/inet.h>
 #include <event2/buffer.h>
