--- a/tests/support/ChildProcess.cpp
+++ b/tests/site/ChildProcess.cpp
@@ -1,4 +1,4 @@
-#include <tests/support/ChildProcess.h>
+#include <tests/site/ChildProcess.h>
 
 #include <core/time/Deadline.h>
 
--- a/tests/support/HttpTool.cpp
+++ b/tests/site/HttpTool.cpp
@@ -1,4 +1,4 @@
-#include <tests/support/HttpTool.h>
+#include <tests/site/HttpTool.h>
 
 #include <core/time/Deadline.h>
 #include <standins/common/JsonText.h>
--- a/tests/support/PortBlock.cpp
+++ b/tests/site/PortBlock.cpp
@@ -1,4 +1,4 @@
-#include <tests/support/PortBlock.h>
+#include <tests/site/PortBlock.h>
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
--- a/tests/support/Site.cpp
+++ b/tests/site/Site.cpp
@@ -1,4 +1,4 @@
-#include <tests/support/Site.h>
+#include <tests/site/Site.h>
 
 #include <checker/HistoryChecker.h>
 #include <checker/HistoryReader.h>
--- a/tests/support/Site.h
+++ b/tests/site/Site.h
@@ -2,10 +2,10 @@
 
 #include <checker/HistoryVerdict.h>
 #include <standins/common/HistoryFile.h>
-#include <tests/support/ChildProcess.h>
-#include <tests/support/HttpTool.h>
-#include <tests/support/SiteDocument.h>
-#include <tests/support/SiteLayout.h>
+#include <tests/site/ChildProcess.h>
+#include <tests/site/HttpTool.h>
+#include <tests/site/SiteDocument.h>
+#include <tests/site/SiteLayout.h>
 
 #include <filesystem>
 #include <map>
--- a/tests/support/SiteDocument.cpp
+++ b/tests/site/SiteDocument.cpp
@@ -1,4 +1,4 @@
-#include <tests/support/SiteDocument.h>
+#include <tests/site/SiteDocument.h>
 
 #include <core/text/Digest.h>
 
--- a/tests/support/SiteDocument.h
+++ b/tests/site/SiteDocument.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <tests/support/SitePlan.h>
+#include <tests/site/SitePlan.h>
 
 #include <map>
 #include <set>
--- a/tests/support/SiteLayout.cpp
+++ b/tests/site/SiteLayout.cpp
@@ -1,4 +1,4 @@
-#include <tests/support/SiteLayout.h>
+#include <tests/site/SiteLayout.h>
 
 namespace Greengage {
 
--- a/tests/support/SiteLayout.h
+++ b/tests/site/SiteLayout.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include <tests/support/DaemonPlace.h>
-#include <tests/support/EndpointPlace.h>
-#include <tests/support/PortBlock.h>
-#include <tests/support/SitePlan.h>
+#include <tests/site/DaemonPlace.h>
+#include <tests/site/EndpointPlace.h>
+#include <tests/site/PortBlock.h>
+#include <tests/site/SitePlan.h>
 
 #include <map>
 #include <string>
--- a/tests/support/SitePlan.cpp
+++ b/tests/site/SitePlan.cpp
@@ -1,4 +1,4 @@
-#include <tests/support/SitePlan.h>
+#include <tests/site/SitePlan.h>
 
 namespace Greengage {
 
--- a/tests/support/SitePlan.h
+++ b/tests/site/SitePlan.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <tests/support/ServicePlan.h>
+#include <tests/site/ServicePlan.h>
 
 #include <map>
 #include <string>
--- a/tests/support/tests/SupportTests.cpp
+++ b/tests/site/tests/SiteTests.cpp
@@ -2,7 +2,7 @@
 #include <config/document/DocumentParser.h>
 #include <config/settings/SettingsParser.h>
 #include <csignal>
-#include <tests/support/Site.h>
+#include <tests/site/Site.h>
 
 using namespace Greengage;
 
@@ -14,7 +14,7 @@
 
 } // namespace
 
-BOOST_AUTO_TEST_SUITE(Support)
+BOOST_AUTO_TEST_SUITE(SiteOfProcesses)
 
 BOOST_AUTO_TEST_CASE(childReportsHowItEnded)
 {
