Add greengaged: the loop, its store watch, peers, claims, allotments and admin pages

Cause: the packages had no process to run in. Change: package daemon with the binary greengaged. One watch follows the document, members, allotments and the ledger; each of its answers confirms freshness. Members hold a lease; peers come from them, and from the settings while the store is out. SIGTERM finishes what was accepted, withdraws the member key and stops. The admin server checks the operators' key. Conclusion: first whole path.

--- /dev/null
+++ b/modules/daemon/Daemon.cpp
@@ -0,0 +1,315 @@
+#include <daemon/Daemon.h>
+
+#include <config/document/DocumentCodec.h>
+#include <config/keys/KeyVerifier.h>
+#include <core/log/Log.h>
+#include <core/log/LogLine.h>
+#include <core/text/Digest.h>
+#include <core/time/BootClock.h>
+#include <platform/store/StoreEntry.h>
+
+#include <fleet/requests/RequestOutput.h>
+
+namespace Greengage {
+
+namespace {
+
+constexpr Milliseconds tickInterval { 50 };
+constexpr std::size_t incarnationBytes = 8;
+constexpr const char* documentKey = "config/document";
+/// How long the last answers may take to reach callers once nothing else is left to do.
+constexpr Milliseconds connectionCloseTimeout { 1000 };
+constexpr Milliseconds freshConfirmation { 3000 };
+
+CallerLimits toLimits(const CallerSettings& settings)
+{
+    CallerLimits limits;
+    limits.maxConnections = settings.maxConnections;
+    limits.maxHeaderBytes = static_cast<std::size_t>(settings.maxHeaderBytes);
+    limits.maxBodyBytes = static_cast<std::size_t>(settings.maxBodyBytes);
+    limits.idleTimeout = Milliseconds(settings.idleTimeoutMilliseconds);
+    return limits;
+}
+
+} // namespace
+
+Daemon::Daemon(event_base& base, const DaemonSettings& settings, std::function<void()> stopped)
+    : base(base)
+    , settings(settings)
+    , stopped(std::move(stopped))
+    , self(makeSelf(settings))
+    , plane(this->self)
+    , store(base, settings.store.address, settings.store.port, settings.address)
+    , documents([this](std::shared_ptr<const Document> document) {
+        this->push(DocumentApplied { std::move(document) });
+        this->peerExchange.exchangeNow();
+    })
+    , gateway(base, settings.address, toLimits(settings.callers), this->self.incarnation, this->gatewayHandlers())
+    , meshServer(base, settings.address, settings.mesh.port, this->meshHandlers())
+    , peerExchange(base, settings.address, this->peerHandlers())
+    , watcher(base, this->store, { documentKey, MemberTable::prefix, AllotmentWriter::key, std::string(ledgerKey) },
+          this->watchHandlers())
+    , registration(base, this->store, makeMember(settings, this->self))
+    , vmReader(base, this->store,
+          [this](const std::vector<VmRecord>& listed) {
+              this->vms = listed;
+              this->listEndpoints();
+          })
+    , claims(
+          base, this->store, this->self.incarnation, [this](ClaimSettled settled) { this->push(std::move(settled)); })
+    , allotments(base, this->store, [this](RequestInput input) { this->push(std::move(input)); })
+    , rollout(this->members, this->peers, this->self.incarnation)
+    , adminApi(base, this->store, this->adminSources())
+    , adminServer(base,
+          { [this](const std::string& key) {
+               return KeyVerifier::matches(key, this->settings.admin.keySalt, this->settings.admin.keyDigest);
+           },
+              [this](const AdminRequest& request, AdminServer::Responder respond) {
+                  this->adminApi.handle(request, std::move(respond));
+              } })
+    , tickTimer(base, [this] { this->tick(); })
+{
+}
+
+PeerState Daemon::makeSelf(const DaemonSettings& settings)
+{
+    PeerState self;
+    self.daemon = settings.name;
+    self.incarnation = IncarnationId(randomHex(incarnationBytes));
+    self.zone = settings.zone;
+    return self;
+}
+
+MemberRecord Daemon::makeMember(const DaemonSettings& settings, const PeerState& self)
+{
+    return { self.daemon, self.incarnation, self.zone, settings.mesh.advertised, settings.admin.port };
+}
+
+Gateway::Handlers Daemon::gatewayHandlers()
+{
+    Gateway::Handlers handlers;
+    handlers.input = [this](RequestInput input) { this->push(std::move(input)); };
+    handlers.refused = [](CallerRefusal) {};
+    handlers.isHealthy = [this] { return !this->shuttingDown && this->documents.known().record.has_value(); };
+    handlers.metricsPage = [] { return std::string(); };
+    return handlers;
+}
+
+MeshServer::Handlers Daemon::meshHandlers()
+{
+    MeshServer::Handlers handlers;
+    handlers.exchangeState = [this](const PeerState&) { return this->plane.describe(BootClock::now()); };
+    handlers.currentDocument = [this]() -> const DocumentRecord* {
+        const auto& record = this->documents.known().record;
+        return record ? &*record : nullptr;
+    };
+    return handlers;
+}
+
+PeerExchange::Handlers Daemon::peerHandlers()
+{
+    PeerExchange::Handlers handlers;
+    handlers.describe = [this] { return this->plane.describe(BootClock::now()); };
+    handlers.heard = [this](PeerState state, Instant askedAt) {
+        this->peers.take(state, askedAt);
+        this->push(PeerHeard { std::move(state), askedAt });
+    };
+    handlers.appliedRevision = [this] { return this->documents.known().appliedRevision(); };
+    handlers.fetched = [this](const DocumentRecord& record) { this->documents.offer(record, "peer"); };
+    return handlers;
+}
+
+StoreWatcher::Handlers Daemon::watchHandlers()
+{
+    StoreWatcher::Handlers handlers;
+    handlers.changed = [this](const StoreEntry& entry) { this->takeEntry(entry); };
+    handlers.confirmed = [this](Instant askedAt) {
+        this->push(StoreConfirmed { askedAt, this->documents.known().newestStored });
+        this->listMembers();
+    };
+    handlers.reachabilityChanged = [this] { this->choosePeers(); };
+    return handlers;
+}
+
+Result<void, DaemonError> Daemon::start()
+{
+    auto callersListen = this->gateway.listen(this->settings.callers.port);
+    if (!callersListen.has_value())
+        return DaemonError { callersListen.error().detail };
+    auto meshListens = this->meshServer.listen();
+    if (!meshListens.has_value())
+        return DaemonError { meshListens.error().detail };
+    auto adminListens = this->adminServer.listen(this->settings.address, this->settings.admin.port);
+    if (!adminListens.has_value())
+        return DaemonError { adminListens.error().detail };
+    writeLog(LogLevel::Info,
+        LogLine("started")
+            .add("daemon", this->self.daemon.string())
+            .add("incarnation", this->self.incarnation.string())
+            .add("zone", this->self.zone.string())
+            .add("address", this->settings.address)
+            .add("callers_port", this->settings.callers.port)
+            .add("admin_port", this->settings.admin.port)
+            .add("mesh_port", this->settings.mesh.port));
+    this->choosePeers();
+    this->watcher.start();
+    this->registration.start();
+    this->vmReader.start();
+    this->tickTimer.schedule(Microseconds::zero());
+    return success();
+}
+
+void Daemon::push(RequestInput input)
+{
+    this->inbox.push_back(std::move(input));
+    if (!this->tickIsDue)
+        this->tickTimer.schedule(Microseconds::zero());
+    this->tickIsDue = true;
+}
+
+void Daemon::tick()
+{
+    this->tickIsDue = false;
+    Instant now = BootClock::now();
+    std::vector<RequestInput> inputs = std::move(this->inbox);
+    this->inbox.clear();
+    for (const RequestOutput& output : this->plane.tick(now, std::move(inputs)))
+        this->carryOut(output);
+    if (this->shuttingDown)
+        this->continueShutdown(now);
+    if (!this->tickIsDue)
+        this->tickTimer.schedule(tickInterval);
+}
+
+void Daemon::carryOut(const RequestOutput& output)
+{
+    struct Carrier {
+        Daemon& daemon;
+        void operator()(const SendAttempt& attempt) const { this->daemon.gateway.send(attempt); }
+        void operator()(const AnswerCaller& answer) const { this->daemon.gateway.answer(answer); }
+        void operator()(const WriteClaim& claim) const { this->daemon.claims.write(claim); }
+        void operator()(const UpdateAllotments& update) const { this->daemon.allotments.update(update); }
+        void operator()(const AskRunning& question) const { this->daemon.gateway.askRunning(question); }
+    };
+    std::visit(Carrier { *this }, output);
+}
+
+void Daemon::takeEntry(const StoreEntry& entry)
+{
+    if (entry.key.starts_with(MemberTable::prefix)) {
+        if (this->members.take(entry))
+            this->choosePeers();
+    } else if (entry.key == AllotmentWriter::key)
+        this->allotments.take(entry);
+    else if (entry.key == ledgerKey)
+        this->takeLedger(entry);
+    else if (entry.key == documentKey && entry.version > 0) {
+        auto record = DocumentCodec::decode(entry.value);
+        if (record.has_value())
+            this->documents.offer(record.value(), "store");
+        else
+            writeLog(LogLevel::Error, LogLine("document_malformed").add("detail", record.error().message));
+    }
+}
+
+void Daemon::takeLedger(const StoreEntry& entry)
+{
+    auto decoded = MaintenanceLedger::decode(entry.value);
+    if (!decoded.has_value()) {
+        writeLog(LogLevel::Error, LogLine("ledger_malformed").add("detail", decoded.error().detail));
+        return;
+    }
+    if (decoded.value().revision <= this->ledger.revision)
+        return;
+    this->ledger = std::move(decoded.value());
+    this->listEndpoints();
+}
+
+void Daemon::listMembers()
+{
+    MembersListed listed;
+    for (const auto& [key, member] : this->members.members())
+        listed.members.push_back({ member.incarnation, member.zone, {} });
+    this->push(std::move(listed));
+}
+
+void Daemon::listEndpoints()
+{
+    this->push(EndpointsListed { this->vms, this->ledger.outOfService(), this->ledger.revision });
+}
+
+/// The members that the store tells of; while it is out, also those that the settings name.
+void Daemon::choosePeers()
+{
+    std::vector<SocketAddress> chosen;
+    for (const auto& [key, member] : this->members.members()) {
+        if (member.incarnation != this->self.incarnation)
+            chosen.push_back(member.mesh);
+    }
+    if (!this->watcher.isReachable()) {
+        for (const SocketAddress& peer : this->settings.mesh.peers) {
+            if (!(peer == this->settings.mesh.advertised))
+                chosen.push_back(peer);
+        }
+    }
+    this->peerExchange.setPeers(chosen);
+}
+
+AdminApi::Sources Daemon::adminSources()
+{
+    return { this->documents.known(), this->rollout, [this] { return this->makeStatus(); },
+        [] { return std::string(); }, [] { return std::string("{\"rows\":[]}"); },
+        [this](const DocumentRecord& record) { this->documents.offer(record, "operator"); } };
+}
+
+StatusReport Daemon::makeStatus()
+{
+    Instant now = BootClock::now();
+    PeerState state = this->plane.describe(now);
+    StatusReport report;
+    report.daemon = this->self.daemon;
+    report.revision = this->documents.known().appliedRevision();
+    report.inForceRevision = this->rollout.inForceRevision(report.revision, now);
+    report.storeReachable = this->watcher.isReachable();
+    report.fresh = state.knownRevision == state.appliedRevision && state.confirmationAge <= freshConfirmation;
+    report.daemons.push_back({ this->self.daemon, this->self.zone, report.revision, 0 });
+    for (const auto& [key, member] : this->members.members()) {
+        const PeerRecord* peer = this->peers.find(member.incarnation);
+        if (peer)
+            report.daemons.push_back({ member.daemon, member.zone, peer->state.appliedRevision,
+                std::chrono::duration_cast<Milliseconds>(now - peer->heardAt).count() });
+    }
+    return report;
+}
+
+void Daemon::shutDown()
+{
+    if (this->shuttingDown)
+        return;
+    writeLog(LogLevel::Info, LogLine("shutdown_begun").add("connections", this->gateway.callerConnections()));
+    this->shuttingDown = true;
+    this->gateway.stopAccepting();
+    this->push(ShutdownRequested {});
+}
+
+void Daemon::continueShutdown(Instant now)
+{
+    if (this->withdrawing || !this->plane.isIdle() || !this->gateway.isIdle())
+        return;
+    if (this->closeConnectionsAt == Deadline()) {
+        writeLog(LogLevel::Info, LogLine("shutdown_drained").add("connections", this->gateway.callerConnections()));
+        this->closeConnectionsAt = Deadline::after(now, connectionCloseTimeout);
+    }
+    if (this->gateway.callerConnections() > 0 && !this->closeConnectionsAt.hasPassed(now))
+        return;
+    this->withdrawing = true;
+    this->registration.withdraw([this] { this->finishShutdown(); });
+}
+
+void Daemon::finishShutdown()
+{
+    writeLog(LogLevel::Info, LogLine("stopped").add("daemon", this->self.daemon.string()));
+    this->stopped();
+}
+
+} // namespace Greengage
--- /dev/null
+++ b/modules/daemon/Daemon.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include <config/settings/DaemonSettings.h>
+#include <core/errors/Result.h>
+#include <daemon/DaemonError.h>
+#include <daemon/admin/AdminApi.h>
+#include <daemon/allotments/AllotmentWriter.h>
+#include <daemon/claims/ClaimWriter.h>
+#include <daemon/configuration/DocumentKeeper.h>
+#include <daemon/configuration/StoreWatcher.h>
+#include <daemon/membership/MemberTable.h>
+#include <daemon/membership/Registration.h>
+#include <daemon/peers/PeerExchange.h>
+#include <daemon/peers/PeerTable.h>
+#include <daemon/vms/VmListReader.h>
+#include <fleet/maintenance/ledger/MaintenanceLedger.h>
+#include <fleet/requests/RequestPlane.h>
+#include <gateway/Gateway.h>
+#include <gateway/admin/AdminServer.h>
+#include <mesh/MeshServer.h>
+#include <platform/store/StoreClient.h>
+
+#include <functional>
+#include <vector>
+
+struct event_base;
+
+namespace Greengage {
+
+/// The entry daemon: collects inputs, runs the request plane's tick and carries out its outputs.
+class Daemon {
+public:
+    /// `stopped` is called once, when a shutdown that was asked for is complete.
+    Daemon(event_base&, const DaemonSettings&, std::function<void()> stopped);
+
+    Daemon(const Daemon&) = delete;
+    Daemon& operator=(const Daemon&) = delete;
+
+    Result<void, DaemonError> start();
+
+    /// Begins a graceful shutdown: accepted requests are finished, new ones refused.
+    void shutDown();
+
+private:
+    static PeerState makeSelf(const DaemonSettings&);
+    static MemberRecord makeMember(const DaemonSettings&, const PeerState& self);
+    Gateway::Handlers gatewayHandlers();
+    MeshServer::Handlers meshHandlers();
+    PeerExchange::Handlers peerHandlers();
+    StoreWatcher::Handlers watchHandlers();
+    AdminApi::Sources adminSources();
+    StatusReport makeStatus();
+
+    void push(RequestInput);
+    void tick();
+    void carryOut(const RequestOutput&);
+    void takeEntry(const StoreEntry&);
+    void takeLedger(const StoreEntry&);
+    void listMembers();
+    void listEndpoints();
+    void choosePeers();
+    void continueShutdown(Instant now);
+    void finishShutdown();
+
+    event_base& base;
+    DaemonSettings settings;
+    std::function<void()> stopped;
+    PeerState self;
+    RequestPlane plane;
+    std::vector<RequestInput> inbox;
+    bool tickIsDue = false;
+    std::vector<VmRecord> vms;
+    MaintenanceLedger ledger;
+    MemberTable members;
+    PeerTable peers;
+    bool shuttingDown = false;
+    bool withdrawing = false;
+    Deadline closeConnectionsAt;
+    StoreClient store;
+    DocumentKeeper documents;
+    Gateway gateway;
+    MeshServer meshServer;
+    PeerExchange peerExchange;
+    StoreWatcher watcher;
+    Registration registration;
+    VmListReader vmReader;
+    ClaimWriter claims;
+    AllotmentWriter allotments;
+    RolloutJudge rollout;
+    AdminApi adminApi;
+    AdminServer adminServer;
+    Timer tickTimer;
+};
+
+} // namespace Greengage
--- /dev/null
+++ b/modules/daemon/configuration/StoreWatcher.cpp
@@ -0,0 +1,65 @@
+#include <daemon/configuration/StoreWatcher.h>
+
+#include <core/log/Log.h>
+#include <core/log/LogLine.h>
+#include <core/time/BootClock.h>
+#include <platform/store/StoreClient.h>
+#include <platform/store/WatchResult.h>
+
+namespace Greengage {
+
+namespace {
+
+constexpr Milliseconds watchWait { 1000 };
+constexpr Milliseconds retryDelay { 250 };
+
+} // namespace
+
+StoreWatcher::StoreWatcher(event_base& base, StoreClient& store, std::vector<std::string> prefixes, Handlers handlers)
+    : store(store)
+    , prefixes(std::move(prefixes))
+    , handlers(std::move(handlers))
+    , retry(base, [this] { this->ask(); })
+{
+}
+
+void StoreWatcher::ask()
+{
+    Instant askedAt = BootClock::now();
+    auto answered = [this, askedAt](Result<WatchResult, StoreError> result) {
+        if (result.has_value()) {
+            this->take(askedAt, result.value());
+            this->ask();
+            return;
+        }
+        if (this->reachable)
+            writeLog(LogLevel::Warning,
+                LogLine("store_unreachable")
+                    .add("code", nameOf(result.error().code))
+                    .add("detail", result.error().detail));
+        this->setReachable(false);
+        this->retry.schedule(retryDelay);
+    };
+    this->store.watch(this->prefixes, this->storeRevision, watchWait, answered);
+}
+
+void StoreWatcher::take(Instant askedAt, const WatchResult& result)
+{
+    if (!this->reachable)
+        writeLog(LogLevel::Info, LogLine("store_reachable").add("store_revision", result.storeRevision));
+    this->setReachable(true);
+    this->storeRevision = result.storeRevision;
+    for (const StoreEntry& entry : result.entries)
+        this->handlers.changed(entry);
+    this->handlers.confirmed(askedAt);
+}
+
+void StoreWatcher::setReachable(bool isReachable)
+{
+    if (this->reachable == isReachable)
+        return;
+    this->reachable = isReachable;
+    this->handlers.reachabilityChanged();
+}
+
+} // namespace Greengage
--- /dev/null
+++ b/modules/gateway/admin/AdminServer.cpp
@@ -0,0 +1,114 @@
+#include <gateway/admin/AdminServer.h>
+
+#include <gateway/http/HttpBuffers.h>
+
+#include <cerrno>
+#include <cstring>
+#include <event2/buffer.h>
+#include <event2/http.h>
+#include <string_view>
+
+namespace Greengage {
+
+namespace {
+
+constexpr int maxConnections = 64;
+constexpr Milliseconds requestTimeout { 30000 };
+constexpr ev_ssize_t maxHeaderBytes = 8 * 1024;
+constexpr ev_ssize_t maxBodyBytes = 4 * 1024 * 1024;
+constexpr int statusUnauthorized = 401;
+constexpr std::string_view bearerPrefix = "Bearer ";
+
+std::string keyOf(const evhttp_request& request)
+{
+    std::string text
+        = headerValue(*evhttp_request_get_input_headers(const_cast<evhttp_request*>(&request)), "Authorization");
+    return text.starts_with(bearerPrefix) ? text.substr(bearerPrefix.size()) : std::string();
+}
+
+} // namespace
+
+AdminServer::AdminServer(event_base& base, Handlers handlers)
+    : base(base)
+    , handlers(std::move(handlers))
+    , limiter(base, maxConnections, requestTimeout)
+    , self(std::make_shared<AdminServer*>(this))
+{
+}
+
+AdminServer::~AdminServer()
+{
+    *this->self = nullptr;
+    for (auto& [id, request] : this->open)
+        evhttp_connection_set_closecb(evhttp_request_get_connection(request), nullptr, nullptr);
+}
+
+Result<void, GatewayError> AdminServer::listen(const std::string& address, std::uint16_t port)
+{
+    this->server.reset(evhttp_new(&this->base));
+    evhttp_set_max_headers_size(this->server.get(), maxHeaderBytes);
+    evhttp_set_max_body_size(this->server.get(), maxBodyBytes);
+    evhttp_set_allowed_methods(this->server.get(), EVHTTP_REQ_GET | EVHTTP_REQ_POST);
+    evhttp_set_gencb(
+        this->server.get(),
+        [](evhttp_request* request, void* server) { static_cast<AdminServer*>(server)->handleRequest(*request); },
+        this);
+    evhttp_bound_socket* socket = evhttp_bind_socket_with_handle(this->server.get(), address.c_str(), port);
+    if (!socket)
+        return GatewayError { "cannot listen on " + address + ":" + std::to_string(port) + ": "
+            + std::strerror(errno) };
+    this->limiter.attach(*this->server, *socket);
+    return success();
+}
+
+void AdminServer::handleRequest(evhttp_request& request)
+{
+    evhttp_connection* connection = evhttp_request_get_connection(&request);
+    this->limiter.requestArrived(connection);
+    if (!this->handlers.isAuthorized(keyOf(request))) {
+        this->send(request,
+            { statusUnauthorized, "application/json", "{\"error\":\"the operators' key is missing or wrong\"}\n" });
+        return;
+    }
+    const evhttp_uri* uri = evhttp_request_get_evhttp_uri(&request);
+    const char* path = uri ? evhttp_uri_get_path(uri) : nullptr;
+    AdminRequest parsed { evhttp_request_get_command(&request) == EVHTTP_REQ_POST, path ? path : "",
+        takeBytes(*evhttp_request_get_input_buffer(&request)) };
+    std::uint64_t id = this->nextRequest++;
+    this->open[id] = &request;
+    evhttp_connection_set_closecb(
+        connection,
+        [](evhttp_connection* closed, void* server) { static_cast<AdminServer*>(server)->handleClosed(closed); }, this);
+    this->handlers.handle(parsed, [owner = this->self, id](const AdminResponse& response) {
+        if (*owner)
+            (*owner)->respond(id, response);
+    });
+}
+
+void AdminServer::handleClosed(evhttp_connection* connection)
+{
+    std::erase_if(this->open,
+        [connection](const auto& entry) { return evhttp_request_get_connection(entry.second) == connection; });
+}
+
+void AdminServer::respond(std::uint64_t id, const AdminResponse& response)
+{
+    auto found = this->open.find(id);
+    if (found == this->open.end())
+        return;
+    evhttp_request& request = *found->second;
+    this->open.erase(found);
+    evhttp_connection_set_closecb(evhttp_request_get_connection(&request), nullptr, nullptr);
+    this->send(request, response);
+}
+
+void AdminServer::send(evhttp_request& request, const AdminResponse& response)
+{
+    evkeyvalq* headers = evhttp_request_get_output_headers(&request);
+    evhttp_add_header(headers, "Content-Type", response.contentType.c_str());
+    evbuffer_add(evhttp_request_get_output_buffer(&request), response.body.data(), response.body.size());
+    this->limiter.requestAnswered(evhttp_request_get_connection(&request));
+    evhttp_send_reply(&request, response.status, nullptr, nullptr);
+}
+
+} // namespace Greengage
--- /dev/null
+++ b/modules/gateway/admin/AdminServer.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <core/errors/Result.h>
+#include <gateway/admin/AdminRequest.h>
+#include <gateway/admin/AdminResponse.h>
+#include <gateway/callers/ConnectionLimiter.h>
+#include <gateway/http/GatewayError.h>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+struct event_base;
+struct evhttp_connection;
+struct evhttp_request;
+
+namespace Greengage {
+
+/// Serves operators over HTTP. Requests without the operators' key are refused here; the others go to the handler,
+/// which answers at once or later.
+class AdminServer {
+public:
+    /// Answers one request; calling it more than once, or after the operator has left, does nothing.
+    using Responder = std::function<void(const AdminResponse&)>;
+
+    struct Handlers {
+        /// Whether a key that an operator has shown is the right one.
+        std::function<bool(const std::string& key)> isAuthorized;
+        std::function<void(const AdminRequest&, Responder)> handle;
+    };
+
+    AdminServer(event_base&, Handlers);
+    ~AdminServer();
+
+    AdminServer(const AdminServer&) = delete;
+    AdminServer& operator=(const AdminServer&) = delete;
+
+    Result<void, GatewayError> listen(const std::string& address, std::uint16_t port);
+
+private:
+    void handleRequest(evhttp_request&);
+    void respond(std::uint64_t id, const AdminResponse&);
+    void send(evhttp_request&, const AdminResponse&);
+    void handleClosed(evhttp_connection*);
+
+    event_base& base;
+    Handlers handlers;
+    ConnectionLimiter limiter;
+    EventPointer<evhttp> server;
+    std::uint64_t nextRequest = 1;
+    std::unordered_map<std::uint64_t, evhttp_request*> open;
+    /// Lets responders that outlive the server do nothing.
+    std::shared_ptr<AdminServer*> self;
+};
+
+} // namespace Greengage
--- a/modules/gateway/endpoints/RunningParser.cpp
+++ b/modules/gateway/endpoints/RunningParser.cpp
@@ -1,6 +1,6 @@
 #include <gateway/endpoints/RunningParser.h>
 
-#include <config/document/JsonText.h>
+#include <config/json/JsonText.h>
 
 #include <json/value.h>
 
--- a/modules/mesh/MeshClient.h
+++ b/modules/mesh/MeshClient.h
@@ -22,7 +22,8 @@
 
 /// Calls one other daemon over one connection, which is made when needed. Every call ends in exactly one call of its
 /// callback, from the loop and never from within the call. When a call times out the connection counts as gone silent:
-/// it is closed, its other calls fail, and the next call makes a new one.
+/// it is closed, its other calls fail, and the next call makes a new one. Destroying the client drops the calls under
+/// way without calling back.
 class MeshClient {
 public:
     /// `sourceAddress` is the local address that the connection is bound to.
--- a/modules/mesh/rpc/ReplyParser.cpp
+++ b/modules/mesh/rpc/ReplyParser.cpp
@@ -1,6 +1,6 @@
 #include <mesh/rpc/ReplyParser.h>
 
-#include <config/document/JsonText.h>
+#include <config/json/JsonText.h>
 
 namespace Greengage {
 
