Try the whole path with real processes

Cause: nothing showed yet that callers, daemons, store and endpoints work together. Change: tests/daemon starts a store, four endpoints and two daemons, and drives them: answers through every daemon, keys refused, a withdrawn key, a submission whose answers were lost, SIGTERM during work, a start during an outage. Conclusion: the thin whole path stands.

--- a/modules/daemon/Daemon.cpp
+++ b/modules/daemon/Daemon.cpp
@@ -34,8 +34,7 @@
 } // namespace
 
 Daemon::Daemon(event_base& base, const DaemonSettings& settings, std::function<void()> stopped)
-    : base(base)
-    , settings(settings)
+    : settings(settings)
     , stopped(std::move(stopped))
     , self(makeSelf(settings))
     , plane(this->self)
--- a/modules/daemon/Daemon.h
+++ b/modules/daemon/Daemon.h
@@ -62,7 +62,6 @@
     void continueShutdown(Instant now);
     void finishShutdown();
 
-    event_base& base;
     DaemonSettings settings;
     std::function<void()> stopped;
     PeerState self;
--- /dev/null
+++ b/tests/daemon/FleetFixture.cpp
@@ -0,0 +1,192 @@
+#include <daemon/FleetFixture.h>
+
+#include <boost/test/unit_test.hpp>
+#include <core/text/Digest.h>
+
+#include <chrono>
+#include <config/json/JsonText.h>
+#include <csignal>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+#include <sstream>
+#include <thread>
+#include <unistd.h>
+
+namespace Greengage {
+
+namespace {
+
+constexpr int firstPort = 24100;
+constexpr int portsEach = 10;
+constexpr int portBlocks = 80;
+constexpr auto hangBound = std::chrono::seconds(60);
+constexpr auto pollInterval = std::chrono::milliseconds(10);
+constexpr const char* storeAddress = "127.3.0.1";
+constexpr const char* salt = "0011223344556677";
+constexpr int endpointCount = 4;
+
+std::string program(const std::string& name) { return std::string(BINARY_ROOT "/bin/") + name; }
+
+std::string endpointAddress(int number)
+{
+    return "127.2." + std::to_string(1 + number % 2) + "." + std::to_string(1 + number / 2);
+}
+
+} // namespace
+
+FleetFixture::FleetFixture()
+    : basePort(static_cast<std::uint16_t>(firstPort + getpid() % portBlocks * portsEach))
+{
+    char pattern[] = "/tmp/greengage-daemon-XXXXXX";
+    this->folder = mkdtemp(pattern);
+    this->daemons.resize(10);
+    this->store = std::make_unique<ChildProcess>(program("standin-store"),
+        std::vector<std::string> {
+            "--port", std::to_string(this->basePort + 3), "--control-port", std::to_string(this->basePort + 4) },
+        this->path("store.log"));
+    std::vector<std::string> arguments { "--control-port", std::to_string(this->basePort + 6), "--history",
+        this->path("history") };
+    for (int number = 0; number < endpointCount; ++number) {
+        arguments.push_back("--endpoint");
+        arguments.push_back(
+            "vm" + std::to_string(number) + "=" + endpointAddress(number) + ":" + std::to_string(this->basePort + 5));
+    }
+    this->minion = std::make_unique<ChildProcess>(program("standin-minion"), arguments, this->path("minion.log"));
+    awaitTrue("store and minions listen", [this] {
+        return talkHttp(storeAddress, this->basePort + 4, "GET", "/control/calls").status == 200
+            && talkHttp(storeAddress, this->basePort + 6, "GET", "/control/state").status == 200;
+    });
+    this->listVms();
+}
+
+FleetFixture::~FleetFixture()
+{
+    for (std::size_t number = 0; number < this->daemons.size(); ++number) {
+        if (this->daemons[number])
+            BOOST_TEST_MESSAGE("daemon " << number << ":\n" << this->daemons[number]->output());
+    }
+    this->daemons.clear();
+    this->minion.reset();
+    this->store.reset();
+    std::filesystem::remove_all(this->folder);
+}
+
+void FleetFixture::listVms()
+{
+    Json::Value faults(Json::objectValue);
+    for (int number = 0; number < endpointCount; ++number) {
+        Json::Value vm(Json::objectValue);
+        vm["id"] = "vm" + std::to_string(number);
+        vm["address"] = endpointAddress(number);
+        vm["port"] = this->basePort + 5;
+        vm["zone"] = "zone-" + std::to_string(1 + number % 2);
+        vm["rack"] = "rack-" + std::to_string(number);
+        vm["state"] = "live";
+        faults["vms"].append(vm);
+    }
+    BOOST_REQUIRE(this->control(faults).status == 200);
+}
+
+std::string FleetFixture::writeSettings(int number) const
+{
+    std::string file = this->path("daemon-" + std::to_string(number) + ".ini");
+    std::ofstream out(file);
+    out << "[daemon]\nname = d" << number << "\nzone = zone-" << number << "\naddress = " << this->daemonAddress(number)
+        << "\n[callers]\nport = " << this->callersPort() << "\n[admin]\nport = " << this->adminPort()
+        << "\nkey_salt = " << salt << "\nkey_digest = " << sha256Hex(std::string(salt) + "operator")
+        << "\n[mesh]\nport = " << this->basePort + 2 << "\npeers = " << this->daemonAddress(1) << ":"
+        << this->basePort + 2 << ", " << this->daemonAddress(2) << ":" << this->basePort + 2
+        << "\n[store]\naddress = " << storeAddress << "\nport = " << this->basePort + 3 << "\n";
+    return file;
+}
+
+void FleetFixture::startDaemon(int number)
+{
+    this->daemons.at(static_cast<std::size_t>(number)) = std::make_unique<ChildProcess>(program("greengaged"),
+        std::vector<std::string> { "--settings", this->writeSettings(number) },
+        this->path("daemon-" + std::to_string(number) + ".log"));
+    awaitTrue("daemon listens", [this, number] {
+        return talkHttp(this->daemonAddress(number), this->callersPort(), "GET", "/healthz").status != 0;
+    });
+}
+
+HttpTalkReply FleetFixture::submit(int number, const std::string& changeId, int baseRevision, const std::string& text)
+{
+    Json::Value submission(Json::objectValue);
+    submission["changeId"] = changeId;
+    submission["author"] = "tester";
+    submission["baseRevision"] = baseRevision;
+    submission["text"] = text;
+    return talkHttp(this->daemonAddress(number), this->adminPort(), "POST", "/v1/document",
+        { "Authorization: Bearer operator" }, writeJson(submission));
+}
+
+HttpTalkReply FleetFixture::call(
+    int number, const std::string& queue, const std::vector<std::string>& headers, const std::string& body)
+{
+    return talkHttp(this->daemonAddress(number), this->callersPort(), "POST", "/v1/queues/" + queue, headers, body);
+}
+
+HttpTalkReply FleetFixture::admin(int number, const std::string& path)
+{
+    return talkHttp(this->daemonAddress(number), this->adminPort(), "GET", path, { "Authorization: Bearer operator" });
+}
+
+HttpTalkReply FleetFixture::control(const Json::Value& storeFaults)
+{
+    return talkHttp(storeAddress, this->basePort + 4, "POST", "/control", {}, writeJson(storeFaults));
+}
+
+Json::Value FleetFixture::storeCalls()
+{
+    auto parsed = parseJson(talkHttp(storeAddress, this->basePort + 4, "GET", "/control/calls").body);
+    BOOST_REQUIRE(parsed.has_value());
+    return parsed.value();
+}
+
+void FleetFixture::awaitHealthy(int number)
+{
+    awaitTrue("daemon serves", [this, number] {
+        return talkHttp(this->daemonAddress(number), this->callersPort(), "GET", "/healthz").status == 200;
+    });
+}
+
+void FleetFixture::awaitTrue(const std::string& what, const std::function<bool()>& condition)
+{
+    auto giveUp = std::chrono::steady_clock::now() + hangBound;
+    while (!condition()) {
+        if (std::chrono::steady_clock::now() > giveUp)
+            BOOST_FAIL("gave up waiting until " << what);
+        std::this_thread::sleep_for(pollInterval);
+    }
+}
+
+std::string FleetFixture::documentText(bool withKey) const
+{
+    std::string text = "[service orders]\nowner = stock\n[pool orders]\nowner = stock\nservice = orders\n"
+                       "vms = vm0 vm1 vm2 vm3\n"
+                       "[queue orders]\nowner = stock\nservice = orders\naccess = keyed\nidempotent = yes\n"
+                       "[queue prices]\nowner = stock\nservice = orders\naccess = open\nidempotent = yes\n"
+                       "[queue pallets]\nowner = stock\nservice = orders\naccess = keyed\nidempotent = no\n"
+                       "[team booking]\nowner = desk\nworkspace = desk\nshare = 1\nlimit = 16\n"
+                       "[team walk-in]\nowner = desk\nworkspace = desk\nshare = 1\nlimit = 16\n";
+    if (withKey)
+        text += "[key booking]\nowner = desk\nteam = booking\nsalt = " + std::string(salt)
+            + "\ndigest = " + sha256Hex(std::string(salt) + "secret") + "\n";
+    return text;
+}
+
+int FleetFixture::startsOf(const std::string& call) const
+{
+    std::ifstream stream(this->path("history"));
+    int starts = 0;
+    for (std::string line; std::getline(stream, line);) {
+        bool isStart = line.find("event=start ") != std::string::npos;
+        starts += isStart && line.ends_with("call=" + call) ? 1 : 0;
+    }
+    return starts;
+}
+
+} // namespace Greengage
--- /dev/null
+++ b/tests/daemon/WholePathTests.cpp
@@ -0,0 +1,140 @@
+#include <boost/test/unit_test.hpp>
+
+#include <daemon/FleetFixture.h>
+
+#include <chrono>
+#include <csignal>
+#include <thread>
+#include <unistd.h>
+
+namespace Greengage {
+
+namespace {
+
+const std::string work = "call=order run_ms=20 answer_bytes=200\n";
+
+/// Two daemons in two zones, with the document in force.
+struct RunningFleet : FleetFixture {
+    RunningFleet()
+    {
+        this->startDaemon(1);
+        this->startDaemon(2);
+        FleetFixture::awaitTrue("both daemons know each other", [this] {
+            return this->admin(1, "/v1/status").body.find("\"d2\"") != std::string::npos
+                && this->admin(2, "/v1/status").body.find("\"d1\"") != std::string::npos;
+        });
+        HttpTalkReply accepted = this->submit(1, "first", 0, this->documentText());
+        BOOST_REQUIRE_MESSAGE(accepted.status == 200, accepted.body);
+        BOOST_TEST(accepted.body.find("\"inForce\":true") != std::string::npos, accepted.body);
+        this->awaitAnswer(1);
+        this->awaitAnswer(2);
+    }
+
+    /// Waits until a daemon has the list of endpoints.
+    void awaitAnswer(int number)
+    {
+        this->awaitHealthy(number);
+        FleetFixture::awaitTrue("daemon reaches endpoints",
+            [this, number] { return this->call(number, "prices", {}, "call=probe\n").status == 200; });
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(WholePathTests, RunningFleet)
+
+BOOST_AUTO_TEST_CASE(requestIsAnsweredThroughEveryDaemon)
+{
+    for (int number : { 1, 2 }) {
+        HttpTalkReply reply = this->call(number, "orders", { this->bearer }, work);
+        BOOST_TEST(reply.status == 200, reply.body);
+        BOOST_TEST(reply.headHas("Greengage-Outcome: answered"));
+        BOOST_TEST(reply.body.size() == 200U);
+    }
+    BOOST_TEST(this->startsOf("order") == 2);
+}
+
+BOOST_AUTO_TEST_CASE(requestsWithoutARightKeyAreNotRun)
+{
+    HttpTalkReply missing = this->call(1, "orders", {}, work);
+    BOOST_TEST(missing.status == 401);
+    BOOST_TEST(missing.headHas("Greengage-Reason: key_missing"));
+    HttpTalkReply wrong = this->call(2, "orders", { "Authorization: Bearer booking.wrong" }, work);
+    BOOST_TEST(wrong.status == 401);
+    BOOST_TEST(wrong.headHas("Greengage-Outcome: not_run"));
+    BOOST_TEST(this->call(1, "unknown", { this->bearer }, work).status == 404);
+    BOOST_TEST(this->startsOf("order") == 0);
+    BOOST_TEST(talkHttp(this->daemonAddress(1), this->adminPort(), "GET", "/v1/status").status == 401);
+}
+
+BOOST_AUTO_TEST_CASE(withdrawnKeyStopsOnEveryDaemonOnceTheChangeIsInForce)
+{
+    HttpTalkReply accepted = this->submit(1, "second", 1, this->documentText(false));
+    BOOST_REQUIRE(accepted.status == 200);
+    BOOST_TEST(accepted.body.find("\"inForce\":true") != std::string::npos, accepted.body);
+    for (int number : { 1, 2 })
+        BOOST_TEST(this->call(number, "orders", { this->bearer }, work).status == 401);
+    HttpTalkReply again = this->submit(2, "second", 1, this->documentText(false));
+    BOOST_TEST(again.status == 200);
+    BOOST_TEST(again.body.find("\"revision\":2") != std::string::npos, again.body);
+}
+
+BOOST_AUTO_TEST_CASE(submissionWhoseAnswerWasLostIsMadeOnce)
+{
+    Json::Value faults(Json::objectValue);
+    faults["loseWriteAnswers"] = 2;
+    this->control(faults);
+    HttpTalkReply accepted = this->submit(1, "second", 1, this->documentText(false));
+    BOOST_TEST(accepted.status == 200, accepted.body);
+    BOOST_TEST(accepted.body.find("\"revision\":2") != std::string::npos, accepted.body);
+}
+
+BOOST_AUTO_TEST_CASE(termFinishesAcceptedWorkAndEndsTheProcess)
+{
+    HttpTalkReply reply;
+    std::thread caller(
+        [&] { reply = this->call(1, "orders", { this->bearer }, "call=long run_ms=1500 answer_bytes=64\n"); });
+    FleetFixture::awaitTrue("the work has begun", [this] { return this->startsOf("long") == 1; });
+    this->daemon(1).signal(SIGTERM);
+    caller.join();
+    BOOST_TEST(reply.status == 200, reply.body);
+    BOOST_TEST(reply.body.size() == 64U);
+    BOOST_TEST((this->daemon(1).awaitExit() == 0));
+    BOOST_TEST(this->daemon(1).output().find("event=stopped") != std::string::npos);
+    FleetFixture::awaitTrue("the other daemon has seen it leave",
+        [this] { return this->daemon(2).output().find("event=member_left daemon=d1") != std::string::npos; });
+}
+
+BOOST_AUTO_TEST_CASE(daemonStartedInAnOutageServesWithAPeersDocument)
+{
+    Json::Value outage(Json::objectValue);
+    outage["outage"] = "refuse";
+    this->control(outage);
+    this->daemon(2).signal(SIGKILL);
+    BOOST_REQUIRE(this->daemon(2).awaitExit().has_value());
+    this->startDaemon(2);
+    this->awaitHealthy(2);
+    BOOST_TEST(this->daemon(2).output().find("event=document_applied revision=1 source=peer") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(SettingsCheckTests)
+
+BOOST_AUTO_TEST_CASE(wrongSettingsAreRefusedByName)
+{
+
+    ChildProcess check(BINARY_ROOT "/bin/greengaged",
+        { "--check", "--settings", SOURCE_ROOT "/examples/brno/document.ini" },
+        "/tmp/greengage-check-" + std::to_string(getpid()) + ".log");
+    BOOST_TEST((check.awaitExit() == 2));
+    BOOST_TEST(check.output().find("unknown section") != std::string::npos, check.output());
+    ChildProcess good(BINARY_ROOT "/bin/greengaged",
+        { "--check", "--settings", SOURCE_ROOT "/examples/brno/daemon-1.ini" },
+        "/tmp/greengage-good-" + std::to_string(getpid()) + ".log");
+    BOOST_TEST((good.awaitExit() == 0));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace Greengage
