Add greengagectl, the operators' command line

Cause: operators need to check, compare and apply the document, see what is in force and where, grant and withdraw keys, drive waves and read the burn report, from any daemon that answers.

Change: one class for each command, over AdminClient, which asks the next daemon when one cannot be reached, and Submitter, which submits a change again under its change id until it is settled or the time is up, and then waits until it is in force everywhere. `show` writes the revision and who has it into a first line that `apply` and `diff` read back. Keys are printed once, after acceptance. Exit codes tell the outcomes apart. Wave commands are not sent again after a lost answer: they may have run meanwhile, and a repeated start could undo another operator's pause.

Ruled out: polling by submitting again, which sends the whole document each time; a writer of completions out of CLI11, which has none, so that a walk over its commands prints a bash script.

Seen failing: a new change id for each attempt, 2 checks of lostAnswersAreSettledUnderTheSameChangeId; no second daemon asked, 3 checks of nextDaemonIsAskedWhenOneCannotBeReached; no waiting, 3 checks of applyWaitsUntilTheChangeIsInForceEverywhere. With all restored cli_tests passed.

--- /dev/null
+++ b/modules/cli/admin/AdminClient.cpp
@@ -0,0 +1,138 @@
+#include <cli/admin/AdminClient.h>
+
+#include <config/admin/StatusCodec.h>
+#include <config/document/DocumentCodec.h>
+
+#include <event2/event.h>
+#include <optional>
+#include <spdlog/fmt/fmt.h>
+
+namespace Greengage {
+
+namespace {
+
+constexpr int okStatus = 200;
+constexpr int unauthorisedStatus = 401;
+constexpr const char* anyAddress = "0.0.0.0";
+
+std::string describe(const SocketAddress& daemon) { return fmt::format("{}:{}", daemon.address, daemon.port); }
+
+AdminError refusal(const SocketAddress& daemon, const HttpAnswer& answer)
+{
+    auto code = answer.status == unauthorisedStatus ? AdminErrorCode::NotAuthorised : AdminErrorCode::Refused;
+    return { code, fmt::format("{} answered with status {}", describe(daemon), answer.status), answer.status,
+        answer.body };
+}
+
+AdminError malformed(const std::string& detail) { return { AdminErrorCode::Malformed, detail, 0, {} }; }
+
+} // namespace
+
+AdminClient::AdminClient(event_base& base, std::vector<SocketAddress> daemons, std::string key)
+    : base(base)
+    , http(base, anyAddress)
+    , addresses(std::move(daemons))
+    , key(std::move(key))
+{
+}
+
+Result<HttpAnswer, AdminError> AdminClient::exchange(
+    const SocketAddress& daemon, const std::string& path, const std::string* body)
+{
+    HttpCall call;
+    call.address = daemon.address;
+    call.port = daemon.port;
+    call.path = path;
+    call.timeout = AdminClient::exchangeTimeout;
+    call.headers.push_back({ "Authorization", "Bearer " + this->key });
+    call.post = body != nullptr;
+    if (body != nullptr)
+        call.body = *body;
+    std::optional<Result<HttpAnswer, HttpFailure>> outcome;
+    this->http.send(std::move(call), [&](Result<HttpAnswer, HttpFailure> result) { outcome = std::move(result); });
+    while (!outcome)
+        event_base_loop(&this->base, EVLOOP_ONCE);
+    if (outcome->has_error()) {
+        const auto& failure = outcome->error();
+        auto code = failure.mayHaveBeenSent ? AdminErrorCode::AnswerLost : AdminErrorCode::Unreachable;
+        return AdminError { code, fmt::format("{}: {}", describe(daemon), failure.detail), 0, {} };
+    }
+    if (outcome->value().status != okStatus)
+        return refusal(daemon, outcome->value());
+    return std::move(outcome->value());
+}
+
+Result<HttpAnswer, AdminError> AdminClient::get(const std::string& path)
+{
+    AdminError last;
+    for (std::size_t attempt = 0; attempt < this->addresses.size(); ++attempt) {
+        auto answer = this->exchange(this->addresses[this->current], path, nullptr);
+        if (answer.has_value() || answer.error().code == AdminErrorCode::NotAuthorised
+            || answer.error().code == AdminErrorCode::Refused)
+            return answer;
+        last = answer.error();
+        this->current = (this->current + 1) % this->addresses.size();
+    }
+    return last;
+}
+
+Result<HttpAnswer, AdminError> AdminClient::getFrom(const SocketAddress& daemon, const std::string& path)
+{
+    return this->exchange(daemon, path, nullptr);
+}
+
+Result<HttpAnswer, AdminError> AdminClient::post(const std::string& path, const std::string& body)
+{
+    AdminError last;
+    for (std::size_t attempt = 0; attempt < this->addresses.size(); ++attempt) {
+        auto answer = this->exchange(this->addresses[this->current], path, &body);
+        if (answer.has_value() || answer.error().code != AdminErrorCode::Unreachable)
+            return answer;
+        last = answer.error();
+        this->current = (this->current + 1) % this->addresses.size();
+    }
+    return last;
+}
+
+Result<HttpAnswer, AdminError> AdminClient::postToNext(const std::string& path, const std::string& body)
+{
+    auto answer = this->exchange(this->addresses[this->current], path, &body);
+    if (answer.has_error())
+        this->current = (this->current + 1) % this->addresses.size();
+    return answer;
+}
+
+Result<DocumentRecord, AdminError> AdminClient::readDocument()
+{
+    BOOST_OUTCOME_TRY(answer, this->get("/v1/document"));
+    auto record = DocumentCodec::decode(answer.body);
+    if (record.has_error())
+        return malformed("the document: " + record.error().message);
+    return std::move(record.value());
+}
+
+Result<StatusReport, AdminError> AdminClient::readStatus()
+{
+    BOOST_OUTCOME_TRY(answer, this->get("/v1/status"));
+    auto status = StatusCodec::decode(answer.body);
+    if (status.has_error())
+        return malformed("the status: " + status.error().message);
+    return std::move(status.value());
+}
+
+Result<std::string, AdminError> AdminClient::readHistory(const std::string& changeId)
+{
+    BOOST_OUTCOME_TRY(answer, this->get("/v1/history/" + changeId));
+    return std::move(answer.body);
+}
+
+void AdminClient::pause(Milliseconds span)
+{
+    auto seconds = std::chrono::duration_cast<Seconds>(span);
+    auto rest = std::chrono::duration_cast<Microseconds>(span - seconds);
+    timeval timeout { static_cast<time_t>(seconds.count()), static_cast<suseconds_t>(rest.count()) };
+    event_base_loopexit(&this->base, &timeout);
+    event_base_loop(&this->base, EVLOOP_NO_EXIT_ON_EMPTY);
+}
+
+} // namespace Greengage
--- /dev/null
+++ b/modules/cli/commands/ApplyCommand.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <cli/commands/CommandContext.h>
+#include <cli/commands/CommandError.h>
+#include <core/errors/Result.h>
+
+#include <cstdint>
+#include <string>
+namespace CLI {
+class App;
+}
+
+namespace Greengage {
+
+/// `apply FILE`: puts a working copy in force.
+class ApplyCommand {
+public:
+    /// Adds the command with its options to the parent and returns it.
+    CLI::App* declare(CLI::App& parent);
+
+    Result<ExitCode, CommandError> run(CommandContext&);
+
+private:
+    std::string file;
+    std::string author;
+    std::int64_t baseRevision = -1;
+};
+
+} // namespace Greengage
--- /dev/null
+++ b/modules/cli/commands/DiffCommand.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <cli/commands/CommandContext.h>
+#include <cli/commands/CommandError.h>
+#include <core/errors/Result.h>
+
+#include <string>
+
+namespace CLI {
+class App;
+}
+
+namespace Greengage {
+
+/// `diff FILE`: what a working copy changes, by section and key.
+class DiffCommand {
+public:
+    /// Adds the command with its options to the parent and returns it.
+    CLI::App* declare(CLI::App& parent);
+
+    Result<ExitCode, CommandError> run(CommandContext&);
+
+private:
+    std::string file;
+};
+
+} // namespace Greengage
--- /dev/null
+++ b/modules/cli/commands/KeyWithdrawCommand.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <cli/commands/CommandContext.h>
+#include <cli/commands/CommandError.h>
+#include <core/errors/Result.h>
+
+#include <string>
+
+namespace CLI {
+class App;
+}
+
+namespace Greengage {
+
+/// `key withdraw NAME`: removes a key.
+class KeyWithdrawCommand {
+public:
+    /// Adds the command with its options to the parent and returns it.
+    CLI::App* declare(CLI::App& parent);
+
+    Result<ExitCode, CommandError> run(CommandContext&);
+
+private:
+    std::string name;
+    std::string author;
+};
+
+} // namespace Greengage
--- /dev/null
+++ b/modules/cli/commands/WorkingCopy.cpp
@@ -0,0 +1,52 @@
+#include <cli/commands/WorkingCopy.h>
+
+#include <algorithm>
+#include <charconv>
+#include <spdlog/fmt/fmt.h>
+
+namespace Greengage {
+
+namespace {
+
+constexpr std::string_view linePrefix = "; greengagegap revision ";
+
+void append(std::string& list, const std::string& name) { list += (list.empty() ? "" : ", ") + name; }
+
+} // namespace
+
+WorkingCopy WorkingCopy::parse(std::string_view content)
+{
+    WorkingCopy copy;
+    copy.text = content;
+    if (!content.starts_with(linePrefix))
+        return copy;
+    auto lineEnd = std::min(content.find('\n'), content.size());
+    auto number = content.substr(linePrefix.size(), lineEnd - linePrefix.size());
+    std::uint64_t revision = 0;
+    auto [end, error] = std::from_chars(number.data(), number.data() + number.size(), revision);
+    if (error != std::errc())
+        return copy;
+    copy.baseRevision = revision;
+    copy.hasRevisionLine = true;
+    copy.text = content.substr(std::min(lineEnd + 1, content.size()));
+    return copy;
+}
+
+std::string WorkingCopy::revisionLine(std::uint64_t revision, const StatusReport& status)
+{
+    std::string have;
+    std::string behind;
+    for (const auto& daemon : status.daemons)
+        append(daemon.revision >= revision ? have : behind, daemon.daemon.string());
+    auto line = fmt::format("{}{}; on {}", linePrefix, revision, have.empty() ? "no daemon yet" : have);
+    if (!behind.empty())
+        line += "; not yet on " + behind;
+    return line + (status.inForceRevision >= revision ? "; in force everywhere\n" : "; not in force everywhere\n");
+}
+
+std::string WorkingCopy::olderRevisionLine(std::uint64_t revision, std::uint64_t newest)
+{
+    return fmt::format("{}{}; replaced, the newest is {}\n", linePrefix, revision, newest);
+}
+
+} // namespace Greengage
