Hold each team's upper limit across the fleet by escrow

The limit was kept by each daemon on its own, so seven daemons could run seven times a team's limit. It is now split into allotments of incarnations in one value of the store, changed by compare-and-swap. Units are lowered in use before the write that hands them back and raised only after the write that takes them; while a lost write may still take effect, the lower count binds. A daemon out of contact for 8 s holds its allotments void until a write proves them current; others reclaim a dead incarnation's allotment 20 s after it was last listed or heard, down to the work that endpoints still report, and an endpoint without a report counts as full. While allotments exceed a lowered limit, nothing of the team starts and idle units go back.

Ruled out: equal static parts (one busy daemon gets a seventh of the limit), and reclaiming by the lease alone (work outlives its daemon, and a daemon cut from the store keeps its permission through its peers).

Keys are verified by config's KeyVerifier, and a key that was replaced under its old name ends the work that waits under it.

Seen failing first, one at a time: no voiding, no ceiling of a lost hand-back, reclaiming without reports, an older book taken, no run time learnt, starting while allotments exceed the limit, and freeing the unit of a broken attempt at once; each failed a case of LimitEscrowSuite.

--- a/modules/fleet/requests/RequestPlane.cpp
+++ b/modules/fleet/requests/RequestPlane.cpp
@@ -6,6 +6,8 @@
 #include <fleet/requests/dispatch/EndpointTable.h>
 #include <fleet/requests/dispatch/Expiry.h>
 #include <fleet/requests/freshness/FreshnessFence.h>
+#include <fleet/requests/limits/DeadAllotments.h>
+#include <fleet/requests/limits/LimitEscrow.h>
 #include <fleet/requests/tables/RequestTables.h>
 #include <fleet/requests/tables/Tick.h>
 
@@ -19,11 +21,13 @@
     {
         std::vector<RequestOutput> outbox;
         Tick tick { this->tables, now, outbox };
+        LimitEscrow(tick).checkContact();
         for (const auto& input : inputs)
             std::visit([&](const auto& message) { take(tick, message); }, input);
         Expiry(tick).run();
         Attempts(tick).settleUnknown();
         Dispatch(tick).run();
+        LimitEscrow(tick).run();
         return outbox;
     }
 
@@ -34,7 +38,13 @@
     static void take(Tick& tick, const CallerLeft& message) { Expiry(tick).take(message); }
     static void take(Tick& tick, const EndpointsListed& message) { EndpointTable(tick).take(message); }
     static void take(Tick& tick, const AttemptEnded& message) { Attempts(tick).take(message); }
-    static void take(Tick& tick, const RunningReported& message) { Attempts(tick).take(message); }
+
+    static void take(Tick& tick, const RunningReported& message)
+    {
+        Attempts(tick).take(message);
+        DeadAllotments(tick).take(message);
+    }
+
     static void take(Tick& tick, const ShutdownRequested&) { tick.tables.shuttingDown = true; }
 
     static void take(Tick& tick, const DocumentApplied& message)
@@ -42,17 +52,22 @@
         auto& tables = tick.tables;
         if (tables.document && message.document->revision <= tables.document->revision)
             return;
-        tables.document = message.document;
+        tables.apply(message.document);
         EndpointTable(tick).assignServices();
         Admission(tick).recheckWaiting();
     }
 
     static void take(Tick& tick, const StoreConfirmed& message) { FreshnessFence(tick).take(message); }
     static void take(Tick&, const ClaimSettled&) { }
-    static void take(Tick&, const AllotmentsRead&) { }
-    static void take(Tick&, const AllotmentsWriteFailed&) { }
+    static void take(Tick& tick, const AllotmentsRead& message) { LimitEscrow(tick).take(message); }
+    static void take(Tick& tick, const AllotmentsWriteFailed& message) { LimitEscrow(tick).take(message); }
     static void take(Tick& tick, const PeerHeard& message) { FreshnessFence(tick).take(message); }
-    static void take(Tick& tick, const MembersListed& message) { FreshnessFence(tick).take(message); }
+
+    static void take(Tick& tick, const MembersListed& message)
+    {
+        FreshnessFence(tick).take(message);
+        LimitEscrow(tick).take(message);
+    }
 };
 
 RequestPlane::RequestPlane(PeerState self)
@@ -82,10 +97,6 @@
     return state;
 }
 
-bool RequestPlane::isIdle() const
-{
-    const auto& tables = this->implementation->tables;
-    return tables.shuttingDown && tables.requests.empty();
-}
+bool RequestPlane::isIdle() const { return this->implementation->tables.idle; }
 
 } // namespace Greengage
--- a/modules/fleet/requests/admission/Admission.cpp
+++ b/modules/fleet/requests/admission/Admission.cpp
@@ -1,7 +1,6 @@
 #include <fleet/requests/admission/Admission.h>
 
 #include <algorithm>
-#include <fleet/requests/admission/BearerCheck.h>
 #include <fleet/requests/admission/RetryAdvice.h>
 #include <fleet/requests/freshness/FreshnessFence.h>
 #include <fleet/requests/messages/RequestArrived.h>
@@ -39,6 +38,7 @@
     row.priority = queue->priority;
     row.idempotent = queue->idempotent;
     row.idempotencyKey = arrived.idempotencyKey;
+    row.arrivedAt = this->tick.now;
     auto longest = Deadline::after(this->tick.now, Milliseconds(queue->maxDeadlineMilliseconds));
     bool unbounded = arrived.deadline == Deadline::never();
     row.deadline = unbounded ? longest : arrived.deadline;
@@ -62,11 +62,12 @@
         return OutcomeReason::KeyMissing;
     if (!FreshnessFence(this->tick).allowsKeyedWork())
         return OutcomeReason::ConfigurationStale;
-    const AccessKey* key = findShownKey(*tables.document, arrived.bearer);
-    if (!key)
+    auto holder = tables.keys.verify(arrived.bearer);
+    if (!holder)
         return OutcomeReason::KeyInvalid;
-    row.key = key->name;
-    row.team = key->team;
+    row.key = holder->key;
+    row.keyDigest = this->digestOf(row.key);
+    row.team = holder->team;
     return OutcomeReason::None;
 }
 
@@ -92,12 +93,17 @@
         return OutcomeReason::UnknownQueue;
     if (queue->access == QueueAccess::Open)
         return OutcomeReason::None;
-    const auto& keys = tables.document->keys;
-    bool keyStands = std::any_of(
-        keys.begin(), keys.end(), [&](const AccessKey& key) { return key.name == row.key && key.team == row.team; });
+    bool keyStands = tables.findTeam(row.team) && this->digestOf(row.key) == row.keyDigest;
     return keyStands ? OutcomeReason::None : OutcomeReason::KeyInvalid;
 }
 
+std::string Admission::digestOf(const KeyId& name) const
+{
+    const auto& keys = this->tick.tables.document->keys;
+    auto found = std::find_if(keys.begin(), keys.end(), [&](const AccessKey& key) { return key.name == name; });
+    return found == keys.end() ? std::string() : found->team.string() + " " + found->salt + " " + found->digest;
+}
+
 void Admission::recheckWaiting()
 {
     auto& requests = this->tick.tables.requests;
--- a/modules/fleet/requests/attempts/Attempts.cpp
+++ b/modules/fleet/requests/attempts/Attempts.cpp
@@ -35,6 +35,7 @@
     RequestLifecycle lifecycle(this->tick);
     switch (ended.result) {
     case AttemptResult::Answered:
+        this->tick.tables.runTimes[row.queue].add(this->tick.now - row.sentAt);
         lifecycle.release(row);
         lifecycle.finish(row, Outcome::Answered, OutcomeReason::None);
         return;
@@ -47,6 +48,7 @@
         this->afterLoss(row, OutcomeReason::ConnectionBroken);
         return;
     case AttemptResult::Silent:
+        this->tick.tables.runTimes[row.queue].addUnanswered(this->tick.now - row.sentAt);
         this->afterLoss(row, OutcomeReason::AnswerTimedOut);
         return;
     }
--- a/modules/fleet/requests/dispatch/Dispatch.cpp
+++ b/modules/fleet/requests/dispatch/Dispatch.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <fleet/requests/dispatch/EndpointSelection.h>
 #include <fleet/requests/freshness/FreshnessFence.h>
+#include <fleet/requests/limits/LimitEscrow.h>
 #include <fleet/requests/tables/RequestLifecycle.h>
 #include <fleet/requests/tables/RequestTables.h>
 
@@ -31,26 +32,37 @@
     auto& requests = this->tick.tables.requests;
     while (!line.order.empty()) {
         auto found = requests.find(line.order.front());
-        if (found != requests.end() && found->second.stage == RequestStage::Waiting)
+        bool waits = found != requests.end() && found->second.stage == RequestStage::Waiting;
+        if (waits && !this->comesTooLate(found->second))
             return &found->second;
         line.order.pop_front();
+        if (waits)
+            RequestLifecycle(this->tick).refuse(found->second, OutcomeReason::DeadlinePassed);
     }
     return nullptr;
 }
 
+bool Dispatch::comesTooLate(const RequestRow& row) const
+{
+    auto estimate = this->tick.tables.runTimes.find(row.queue);
+    if (estimate == this->tick.tables.runTimes.end())
+        return false;
+    auto median = estimate->second.median();
+    return row.deadline.remaining(this->tick.now) < median && row.deadline.remaining(row.arrivedAt) >= median;
+}
+
 bool Dispatch::isPermitted(const RequestRow& row) const
 {
     bool keyed = !row.key.isEmpty();
     if (keyed && this->tick.now >= this->keyedWorkEnd)
         return false;
-    const Team* team = this->tick.tables.findTeam(row.team);
-    return !team || this->tick.tables.runningOf(row.team) < team->limit;
+    return LimitEscrow(this->tick).allowsStart(row.team);
 }
 
 double Dispatch::loadOf(const WorkLineKey& key) const
 {
     const Team* team = this->tick.tables.findTeam(key.team);
-    return this->tick.tables.runningOf(key.team) / (team ? team->share : 1.0);
+    return this->tick.tables.usageOf(key.team).running / (team ? team->share : 1.0);
 }
 
 bool Dispatch::goesBefore(
@@ -99,6 +111,7 @@
 void Dispatch::send(RequestRow& row, const EndpointRow& endpoint)
 {
     row.attempts += 1;
+    row.sentAt = this->tick.now;
     SendAttempt attempt;
     attempt.request = row.id;
     attempt.attempt = row.attempts;
--- a/modules/fleet/requests/dispatch/Dispatch.h
+++ b/modules/fleet/requests/dispatch/Dispatch.h
@@ -23,8 +23,11 @@
 private:
     /// Starts at most one request of the best line; false if nothing can be started.
     bool startNext();
-    /// The request at the front of a line, after dropping ids that no longer wait; null if the line is empty.
+    /// The request at the front of a line, after dropping those that no longer wait or come too late; null if the line
+    /// is empty.
     RequestRow* frontOf(WorkLine&) const;
+    /// Whether so little time is left, though there was enough on arrival, that an answer in time is unlikely.
+    bool comesTooLate(const RequestRow&) const;
     /// Whether freshness and the team's limit allow the request to start now.
     bool isPermitted(const RequestRow&) const;
     bool goesBefore(const WorkLineKey&, const RequestRow&, const WorkLineKey& otherKey, const RequestRow& other) const;
--- a/modules/fleet/requests/dispatch/EndpointTable.cpp
+++ b/modules/fleet/requests/dispatch/EndpointTable.cpp
@@ -13,6 +13,7 @@
 void EndpointTable::take(const EndpointsListed& listed)
 {
     auto& endpoints = this->tick.tables.endpoints;
+    this->tick.tables.endpointsKnown = true;
     for (auto& [id, endpoint] : endpoints) {
         endpoint.listed = false;
         endpoint.open = false;
--- a/modules/fleet/requests/dispatch/Expiry.cpp
+++ b/modules/fleet/requests/dispatch/Expiry.cpp
@@ -1,6 +1,7 @@
 #include <fleet/requests/dispatch/Expiry.h>
 
 #include <fleet/requests/freshness/FreshnessFence.h>
+#include <fleet/requests/limits/LimitEscrow.h>
 #include <fleet/requests/messages/CallerLeft.h>
 #include <fleet/requests/tables/RequestLifecycle.h>
 #include <fleet/requests/tables/RequestTables.h>
@@ -41,8 +42,7 @@
     const auto& tables = this->tick.tables;
     if (!row.key.isEmpty() && !FreshnessFence(this->tick).allowsKeyedWork())
         return OutcomeReason::ConfigurationStale;
-    const Team* team = tables.findTeam(row.team);
-    if (team && tables.runningOf(row.team) >= team->limit)
+    if (!LimitEscrow(this->tick).allowsStart(row.team))
         return OutcomeReason::LimitReached;
     for (const auto& [id, endpoint] : tables.endpoints) {
         if (endpoint.open && endpoint.service == row.service)
--- a/modules/fleet/requests/freshness/FreshnessFence.cpp
+++ b/modules/fleet/requests/freshness/FreshnessFence.cpp
@@ -90,17 +90,14 @@
     const auto& tables = this->tick.tables;
     std::map<ZoneId, Instant> heardByZone;
     for (const auto& [incarnation, peer] : tables.peers) {
-        if (peer.zone != tables.self.zone && (peer.listed || !tables.membersKnown))
-            heardByZone.emplace(peer.zone, Instant::min());
-    }
-    for (const auto& [incarnation, peer] : tables.peers) {
-        auto found = heardByZone.find(peer.zone);
-        if (found != heardByZone.end())
-            found->second = std::max(found->second, peer.heardAt);
+        if (peer.zone == tables.self.zone)
+            continue;
+        auto& heardAt = heardByZone.try_emplace(peer.zone, Instant::min()).first->second;
+        heardAt = std::max(heardAt, peer.heardAt);
     }
-    if (heardByZone.empty() && !tables.membersKnown)
+    if (heardByZone.empty())
         return Instant::min();
-    auto earliest = heardByZone.empty() ? this->tick.now : Instant::max();
+    auto earliest = Instant::max();
     for (const auto& [zone, heardAt] : heardByZone)
         earliest = std::min(earliest, heardAt);
     return withBound(earliest);
--- a/modules/fleet/requests/freshness/FreshnessFence.h
+++ b/modules/fleet/requests/freshness/FreshnessFence.h
@@ -13,7 +13,8 @@
 /// Decides until when this daemon may rely on its document for keyed work. The document counts as fresh for a bounded
 /// time after the store was asked, by this daemon or by a peer that passed the answer's age on, and had nothing newer.
 /// While no such confirmation is known, it counts as fresh if a daemon of every other availability zone was heard
-/// within the bound, since a change is accepted only through a daemon. A newer revision that has been heard of and not
+/// within the bound, since a change is accepted only through a daemon. A daemon that knows of no other zone has no such
+/// permission. A newer revision that has been heard of and not
 /// applied ends the freshness at once.
 class FreshnessFence {
 public:
--- /dev/null
+++ b/modules/fleet/requests/limits/AllotmentBook.cpp
@@ -0,0 +1,103 @@
+#include <fleet/requests/limits/AllotmentBook.h>
+
+#include <json/json.h>
+#include <memory>
+#include <set>
+
+namespace Greengage {
+
+Result<AllotmentBook, AllotmentError> AllotmentBook::parse(std::string_view text)
+{
+    AllotmentBook book;
+    if (text.empty())
+        return book;
+    Json::Value root;
+    std::string errors;
+    Json::CharReaderBuilder builder;
+    Json::CharReaderBuilder::strictMode(&builder.settings_);
+    std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
+    if (!reader->parse(text.data(), text.data() + text.size(), &root, &errors) || !root.isObject()
+        || !root["teams"].isObject())
+        return AllotmentError { errors.empty() ? "member teams is missing" : errors };
+    const auto& teams = root["teams"];
+    for (const auto& team : teams.getMemberNames()) {
+        if (!teams[team].isObject())
+            return AllotmentError { "team " + team + " is not an object" };
+        for (const auto& incarnation : teams[team].getMemberNames()) {
+            const auto& units = teams[team][incarnation];
+            if (!units.isInt() || units.asInt() < 0)
+                return AllotmentError { "team " + team + ": units of " + incarnation + " are not a count" };
+            book.assign(TeamId(team), IncarnationId(incarnation), units.asInt());
+        }
+    }
+    return book;
+}
+
+std::string AllotmentBook::format() const
+{
+    Json::Value root;
+    root["teams"] = Json::Value(Json::objectValue);
+    for (const auto& [team, allotments] : this->units) {
+        for (const auto& [incarnation, count] : allotments)
+            root["teams"][team.string()][incarnation.string()] = count;
+    }
+    Json::StreamWriterBuilder builder;
+    builder["indentation"] = "";
+    return Json::writeString(builder, root);
+}
+
+int AllotmentBook::unitsOf(const TeamId& team, const IncarnationId& incarnation) const
+{
+    auto allotments = this->units.find(team);
+    if (allotments == this->units.end())
+        return 0;
+    auto found = allotments->second.find(incarnation);
+    return found == allotments->second.end() ? 0 : found->second;
+}
+
+int AllotmentBook::sumOf(const TeamId& team) const
+{
+    int sum = 0;
+    auto allotments = this->units.find(team);
+    if (allotments == this->units.end())
+        return sum;
+    for (const auto& [incarnation, count] : allotments->second)
+        sum += count;
+    return sum;
+}
+
+void AllotmentBook::assign(const TeamId& team, const IncarnationId& incarnation, int count)
+{
+    if (count > 0) {
+        this->units[team][incarnation] = count;
+        return;
+    }
+    auto allotments = this->units.find(team);
+    if (allotments == this->units.end())
+        return;
+    allotments->second.erase(incarnation);
+    if (allotments->second.empty())
+        this->units.erase(allotments);
+}
+
+std::vector<TeamId> AllotmentBook::teamsOf(const IncarnationId& incarnation) const
+{
+    std::vector<TeamId> teams;
+    for (const auto& [team, allotments] : this->units) {
+        if (allotments.contains(incarnation))
+            teams.push_back(team);
+    }
+    return teams;
+}
+
+std::vector<IncarnationId> AllotmentBook::incarnations() const
+{
+    std::set<IncarnationId> found;
+    for (const auto& [team, allotments] : this->units) {
+        for (const auto& [incarnation, count] : allotments)
+            found.insert(incarnation);
+    }
+    return { found.begin(), found.end() };
+}
+
+} // namespace Greengage
--- /dev/null
+++ b/modules/fleet/requests/limits/AllotmentPlan.cpp
@@ -0,0 +1,118 @@
+#include <fleet/requests/limits/AllotmentPlan.h>
+
+#include <algorithm>
+#include <fleet/requests/limits/EscrowState.h>
+#include <fleet/requests/limits/TeamDemandView.h>
+#include <fleet/requests/sharing/LiveDemand.h>
+#include <fleet/requests/sharing/ProportionalDivision.h>
+#include <fleet/requests/tables/RequestTables.h>
+#include <numeric>
+
+namespace Greengage {
+
+namespace {
+
+/// How long the most units in use are remembered before surplus units are handed back.
+constexpr Milliseconds peakWindow { 5000 };
+/// Part of an allotment in use by which it may exceed its fair part before units are handed back.
+constexpr int fairPartTolerance = 8;
+
+} // namespace
+
+AllotmentPlan::AllotmentPlan(Tick& tick)
+    : tick(tick)
+    , state(tick.tables.escrow)
+{
+}
+
+AllotmentBook AllotmentPlan::draft() const
+{
+    const auto& tables = this->tick.tables;
+    const auto& self = tables.self.incarnation;
+    auto draft = this->state.book;
+    for (const auto& team : draft.teamsOf(self)) {
+        if (!tables.findTeam(team))
+            draft.assign(team, self, std::min(draft.unitsOf(team, self), tables.usageOf(team).running));
+    }
+    for (const auto& team : tables.document->teams)
+        draft.assign(team.name, self, this->plan(team));
+    return draft;
+}
+
+TeamDemandView AllotmentPlan::viewOf(const Team& team) const
+{
+    const auto& tables = this->tick.tables;
+    TeamDemandView view;
+    view.team = team.name;
+    view.limit = team.limit;
+    view.held = this->state.book.unitsOf(team.name, tables.self.incarnation);
+    view.free = team.limit - this->state.book.sumOf(team.name);
+    view.running = tables.usageOf(team.name).running;
+    view.waiting = tables.usageOf(team.name).waiting;
+    int reach = view.free + view.held;
+    std::vector<double> demands;
+    std::size_t own = 0;
+    for (const auto& demand : LiveDemand(this->tick).ofTeam(team.name)) {
+        if (demand.incarnation == tables.self.incarnation)
+            own = demands.size();
+        else {
+            view.peersWaiting += demand.waiting;
+            reach += this->state.book.unitsOf(team.name, demand.incarnation);
+        }
+        demands.push_back(demand.running + demand.waiting);
+    }
+    double total = std::accumulate(demands.begin(), demands.end(), 0.0);
+    view.isShort = total > reach;
+    view.equalPart = team.limit / this->countMembers(demands.size());
+    view.fairPart = view.isShort ? divideByWeight(reach, demands)[own] : reach;
+    return view;
+}
+
+int AllotmentPlan::countMembers(std::size_t live) const
+{
+    const auto& peers = this->tick.tables.peers;
+    auto listed = std::count_if(peers.begin(), peers.end(), [](const auto& entry) { return entry.second.listed; });
+    return static_cast<int>(std::max<std::size_t>(live, 1 + static_cast<std::size_t>(listed)));
+}
+
+int AllotmentPlan::plan(const Team& team) const
+{
+    auto view = this->viewOf(team);
+    if (view.free < 0 || this->tick.tables.shuttingDown)
+        return std::min(view.held, view.running + (this->tick.tables.shuttingDown ? view.waiting : 0));
+    if (view.waiting > 0 || view.peersWaiting > 0)
+        return this->unitsWhenShort(view);
+    return this->unitsWhenQuiet(view);
+}
+
+int AllotmentPlan::unitsWhenShort(const TeamDemandView& view) const
+{
+    int wanted = view.running + view.waiting;
+    if (wanted > view.held) {
+        int most = view.isShort ? std::max(view.held, view.fairPart) : view.limit;
+        return std::max(view.held, std::min({ wanted, most, view.held + view.free }));
+    }
+    int missing = view.peersWaiting - view.free;
+    int kept = std::max(view.running, view.isShort ? view.fairPart + view.fairPart / fairPartTolerance : wanted);
+    if (missing <= 0 || view.held <= kept)
+        return view.held;
+    return view.held - std::min(missing, view.held - kept);
+}
+
+int AllotmentPlan::unitsWhenQuiet(const TeamDemandView& view) const
+{
+    int reserve = (view.equalPart + 1) / 2;
+    auto [entry, isNew] = this->state.teams.try_emplace(view.team);
+    auto& recent = entry->second;
+    if (isNew)
+        recent = TeamEscrow { view.held, Deadline(this->tick.now) };
+    recent.peak = std::max(recent.peak, view.running);
+    if (!recent.windowEnd.hasPassed(this->tick.now))
+        return view.held;
+    int wanted = recent.peak + reserve;
+    recent.peak = view.running;
+    recent.windowEnd = Deadline::after(this->tick.now, peakWindow);
+    return std::min(wanted, view.held + view.free);
+}
+
+} // namespace Greengage
--- /dev/null
+++ b/modules/fleet/requests/limits/AllotmentPlan.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <core/text/Identifier.h>
+#include <fleet/requests/limits/AllotmentBook.h>
+#include <fleet/requests/tables/Tick.h>
+
+namespace Greengage {
+
+struct EscrowState;
+struct Team;
+struct TeamDemandView;
+
+/// Plans this daemon's next allotment of every team: takes free units for waiting work, hands idle units back when
+/// peers wait for them, and keeps a small reserve in quiet times so that work can start without the store.
+class AllotmentPlan {
+public:
+    explicit AllotmentPlan(Tick&);
+
+    /// The newest book with this daemon's own allotments as it wants them.
+    AllotmentBook draft() const;
+
+private:
+    TeamDemandView viewOf(const Team&) const;
+    /// Daemons that are live or listed, this one included.
+    int countMembers(std::size_t live) const;
+    int plan(const Team&) const;
+    int unitsWhenShort(const TeamDemandView&) const;
+    int unitsWhenQuiet(const TeamDemandView&) const;
+
+    Tick& tick;
+    EscrowState& state;
+};
+
+} // namespace Greengage
--- /dev/null
+++ b/modules/fleet/requests/limits/TeamDemandView.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <core/text/Identifier.h>
+
+namespace Greengage {
+
+/// What one daemon sees of a team's limit and of the demand for it.
+struct TeamDemandView {
+    TeamId team;
+    int limit = 0;
+    /// Units in nobody's allotment.
+    int free = 0;
+    /// Units of this daemon's allotment, and how many of them are in use.
+    int held = 0;
+    int running = 0;
+    /// Requests that wait here, and at all live peers.
+    int waiting = 0;
+    int peersWaiting = 0;
+    /// This daemon's part of the limit by demand.
+    int fairPart = 0;
+    /// This daemon's part of the limit, rounded down, if all daemons had the same demand.
+    int equalPart = 0;
+    /// Whether the demand of all live daemons exceeds the limit.
+    bool isShort = false;
+};
+
+} // namespace Greengage
--- a/modules/fleet/requests/tables/RequestLifecycle.cpp
+++ b/modules/fleet/requests/tables/RequestLifecycle.cpp
@@ -18,16 +18,22 @@
 {
 }
 
-WorkLine& RequestLifecycle::lineOf(const RequestRow& row)
+void RequestLifecycle::count(const WorkLineKey& key, int waiting, int running)
 {
-    return this->tick.tables.lines[WorkLineKey { row.queue, row.team }];
+    auto& line = this->tick.tables.lines[key];
+    line.waiting += waiting;
+    line.running += running;
+    assertInvariant(line.waiting >= 0 && line.running >= 0, "counts of a line are not negative");
+    auto& usage = this->tick.tables.usage[key.team];
+    usage.waiting += waiting;
+    usage.running += running;
 }
 
 void RequestLifecycle::enqueue(RequestRow row)
 {
-    auto& line = this->lineOf(row);
-    line.order.push_back(row.id);
-    line.waiting += 1;
+    WorkLineKey key { row.queue, row.team };
+    this->tick.tables.lines[key].order.push_back(row.id);
+    this->count(key, 1, 0);
     this->tick.tables.deadlines.emplace(row.deadline.at(), row.id);
     auto id = row.id;
     bool added = this->tick.tables.requests.emplace(id, std::move(row)).second;
@@ -38,16 +44,14 @@
 {
     row.stage = RequestStage::Waiting;
     row.endpoint = VmId();
-    auto& line = this->lineOf(row);
-    line.order.push_front(row.id);
-    line.waiting += 1;
+    WorkLineKey key { row.queue, row.team };
+    this->tick.tables.lines[key].order.push_front(row.id);
+    this->count(key, 1, 0);
 }
 
 void RequestLifecycle::start(RequestRow& row, const VmId& endpoint)
 {
-    auto& line = this->lineOf(row);
-    line.waiting -= 1;
-    line.running += 1;
+    this->count(WorkLineKey { row.queue, row.team }, -1, 1);
     row.stage = RequestStage::Sent;
     row.endpoint = endpoint;
     this->tick.tables.endpoints.at(endpoint).running += 1;
@@ -62,9 +66,7 @@
 
 void RequestLifecycle::release(const WorkLineKey& key, const VmId& endpoint)
 {
-    auto& line = this->tick.tables.lines[key];
-    assertInvariant(line.running > 0, "a released unit was in use");
-    line.running -= 1;
+    this->count(key, 0, -1);
     auto found = this->tick.tables.endpoints.find(endpoint);
     if (found == this->tick.tables.endpoints.end())
         return;
@@ -87,7 +89,7 @@
 void RequestLifecycle::finish(RequestRow& row, Outcome outcome, OutcomeReason reason, Milliseconds retryAfter)
 {
     if (row.stage == RequestStage::Waiting)
-        this->lineOf(row).waiting -= 1;
+        this->count(WorkLineKey { row.queue, row.team }, -1, 0);
     if (!row.callerLeft)
         this->tick.outbox.push_back(AnswerCaller { row.id, outcome, reason, row.attempts, retryAfter, row.team });
     this->tick.tables.requests.erase(RequestId(row.id));
--- a/modules/fleet/requests/tables/RequestLifecycle.h
+++ b/modules/fleet/requests/tables/RequestLifecycle.h
@@ -8,7 +8,6 @@
 
 struct RequestRow;
 struct UnknownWork;
-struct WorkLine;
 struct WorkLineKey;
 
 /// The moves of a request from stage to stage. It keeps the counts of lines and endpoints in step with the rows.
@@ -36,7 +35,7 @@
 
 private:
     void release(const WorkLineKey&, const VmId& endpoint);
-    WorkLine& lineOf(const RequestRow&);
+    void count(const WorkLineKey&, int waiting, int running);
 
     Tick& tick;
 };
--- a/modules/fleet/requests/tables/RequestRow.h
+++ b/modules/fleet/requests/tables/RequestRow.h
@@ -20,10 +20,15 @@
     TeamId team;
     /// Key under which it was admitted; empty on an open queue.
     KeyId key;
+    /// What the key stood for in the document when it was shown.
+    std::string keyDigest;
     Priority priority = Priority::Normal;
     bool idempotent = false;
     std::string idempotencyKey;
+    Instant arrivedAt {};
     Deadline deadline;
+    /// When the newest attempt was sent.
+    Instant sentAt {};
     RequestStage stage = RequestStage::Waiting;
     /// Whether the claim of a non-idempotent request has been won.
     bool claimed = false;
--- a/modules/fleet/requests/tables/RequestTables.cpp
+++ b/modules/fleet/requests/tables/RequestTables.cpp
@@ -1,35 +1,35 @@
 #include <fleet/requests/tables/RequestTables.h>
 
-#include <algorithm>
-
 namespace Greengage {
 
+void RequestTables::apply(std::shared_ptr<const Document> newer)
+{
+    this->document = std::move(newer);
+    this->queues.clear();
+    for (const auto& queue : this->document->queues)
+        this->queues.emplace(queue.name, &queue);
+    this->teams.clear();
+    for (const auto& team : this->document->teams)
+        this->teams.emplace(team.name, &team);
+    this->keys = KeyVerifier(*this->document);
+}
+
 const Queue* RequestTables::findQueue(const QueueId& name) const
 {
-    if (!this->document)
-        return nullptr;
-    const auto& queues = this->document->queues;
-    auto found = std::find_if(queues.begin(), queues.end(), [&](const Queue& queue) { return queue.name == name; });
-    return found == queues.end() ? nullptr : &*found;
+    auto found = this->queues.find(name);
+    return found == this->queues.end() ? nullptr : found->second;
 }
 
 const Team* RequestTables::findTeam(const TeamId& name) const
 {
-    if (!this->document)
-        return nullptr;
-    const auto& teams = this->document->teams;
-    auto found = std::find_if(teams.begin(), teams.end(), [&](const Team& team) { return team.name == name; });
-    return found == teams.end() ? nullptr : &*found;
+    auto found = this->teams.find(name);
+    return found == this->teams.end() ? nullptr : found->second;
 }
 
-int RequestTables::runningOf(const TeamId& team) const
+TeamUsage RequestTables::usageOf(const TeamId& team) const
 {
-    int running = 0;
-    for (const auto& [key, line] : this->lines) {
-        if (key.team == team)
-            running += line.running;
-    }
-    return running;
+    auto found = this->usage.find(team);
+    return found == this->usage.end() ? TeamUsage {} : found->second;
 }
 
 } // namespace Greengage
--- a/modules/fleet/requests/tables/RequestTables.h
+++ b/modules/fleet/requests/tables/RequestTables.h
@@ -1,11 +1,15 @@
 #pragma once
 
+#include <config/keys/KeyVerifier.h>
 #include <config/model/Document.h>
 #include <core/time/Instant.h>
 #include <fleet/peers/PeerState.h>
+#include <fleet/requests/limits/EscrowState.h>
 #include <fleet/requests/tables/EndpointRow.h>
 #include <fleet/requests/tables/PeerRow.h>
 #include <fleet/requests/tables/RequestRow.h>
+#include <fleet/requests/tables/RunTimeEstimate.h>
+#include <fleet/requests/tables/TeamUsage.h>
 #include <fleet/requests/tables/UnknownWork.h>
 #include <fleet/requests/tables/WorkLine.h>
 #include <fleet/requests/tables/WorkLineKey.h>
@@ -23,6 +27,10 @@
     PeerState self;
     /// The document in use; null until the first one has been applied.
     std::shared_ptr<const Document> document;
+    /// Parts of the document in use, by name.
+    std::map<QueueId, const Queue*> queues;
+    std::map<TeamId, const Team*> teams;
+    KeyVerifier keys;
     std::map<RequestId, RequestRow> requests;
     /// Requests by the instant at which their deadline passes; may name requests that have ended.
     std::multimap<Instant, RequestId> deadlines;
@@ -36,16 +44,26 @@
     Instant confirmedAt = Instant::min();
     /// The same for this daemon's own questions.
     Instant storeAnsweredAt = Instant::min();
+    /// The sums of the lines of each team.
+    std::map<TeamId, TeamUsage> usage;
+    std::map<QueueId, RunTimeEstimate> runTimes;
     std::map<VmId, EndpointRow> endpoints;
+    /// Whether the platform's list has ever been read.
+    bool endpointsKnown = false;
     std::vector<UnknownWork> unknownWork;
+    EscrowState escrow;
     bool shuttingDown = false;
+    /// Whether a shutdown has nothing left to finish or hand back.
+    bool idle = false;
+
+    /// Puts a document in use.
+    void apply(std::shared_ptr<const Document>);
 
     /// Looks up parts of the document in use; null if absent.
     const Queue* findQueue(const QueueId&) const;
     const Team* findTeam(const TeamId&) const;
 
-    /// Units of a team's limit that this daemon uses now.
-    int runningOf(const TeamId&) const;
+    TeamUsage usageOf(const TeamId&) const;
 };
 
 } // namespace Greengage
--- a/modules/fleet/tests/FreshnessTests.cpp
+++ b/modules/fleet/tests/FreshnessTests.cpp
@@ -47,7 +47,6 @@
         return "sent";
     }
 
-    int requests = 0;
     Deadline notAfter;
 };
 
@@ -94,7 +93,7 @@
 BOOST_AUTO_TEST_CASE(storeOutForAllNeedsADaemonOfEveryOtherZone)
 {
     this->listMembers();
-    this->clock.advance(Seconds(10));
+    this->clock.advance(Seconds(4));
     this->hear("i2", "z2");
     BOOST_TEST(this->tryKeyed() == "configuration_stale");
     this->hear(
--- /dev/null
+++ b/modules/fleet/tests/LimitEscrowTests.cpp
@@ -0,0 +1,251 @@
+#include <boost/test/unit_test.hpp>
+#include <fleet/requests/limits/AllotmentBook.h>
+#include <fleet/requests/sharing/ProportionalDivision.h>
+#include <fleet/tests/PlaneFixture.h>
+#include <fleet/tests/simulation/SimulatedFleet.h>
+
+using namespace Greengage;
+
+namespace {
+
+constexpr int scheduleSeeds = 40;
+
+std::shared_ptr<Document> makeDocument(std::uint64_t revision, int limit, int endpoints)
+{
+    auto document = PlaneFixture::makeDocument(revision);
+    document->teams[0].limit = limit;
+    document->pools[0].vms.clear();
+    for (int index = 0; index < endpoints; ++index)
+        document->pools[0].vms.emplace_back("e" + std::to_string(index));
+    return document;
+}
+
+/// Random kills, restarts, freezes, cuts, outages, lost answers and changes of the limit under a load of one team, and
+/// a check of what really runs whenever an endpoint begins a request.
+class RandomSchedule {
+public:
+    explicit RandomSchedule(std::uint64_t seed)
+        : fleet(makeOptions(seed))
+        , calm(seed % 2 == 0 ? 60 : 300)
+    {
+        this->fleet.accept(makeDocument(1, this->limit, this->fleet.options.endpointsPerService));
+        for (std::size_t daemon = 0; daemon < this->fleet.daemons.size(); ++daemon)
+            this->fleet.start(daemon);
+        this->fleet.onBegin = [this](const RunningWork&) {
+            int running = this->fleet.runningOf("booking");
+            this->worst = std::max(this->worst, running - this->bindingLimit());
+        };
+    }
+
+    static FleetOptions makeOptions(std::uint64_t seed)
+    {
+        FleetOptions options;
+        options.seed = seed;
+        options.lostWriteAnswers = 0.1;
+        options.lateWrites = 0.05;
+        options.brokenAttempts = 0.05;
+        return options;
+    }
+
+    /// The limit in force, or the larger of two while a change may still be under way.
+    int bindingLimit() const
+    {
+        bool settled = this->fleet.clock.current() >= this->changedAt + Seconds(5);
+        return settled ? this->limit : std::max(this->limit, this->earlierLimit);
+    }
+
+    void play(int steps)
+    {
+        for (int step = 0; step < steps; ++step) {
+            this->load();
+            this->disturb();
+            this->fleet.run(Milliseconds(100));
+        }
+    }
+
+    void load()
+    {
+        for (int count = 0; count < 8; ++count) {
+            auto daemon = static_cast<std::size_t>(this->fleet.pick(this->fleet.options.daemons));
+            auto runTime = Milliseconds(20 + this->fleet.pick(this->fleet.pick(40) == 0 ? 30000 : 800));
+            this->fleet.submit(daemon, "quotes", "k1", Seconds(4), runTime);
+        }
+    }
+
+    void disturb()
+    {
+        auto daemon = static_cast<std::size_t>(this->fleet.pick(this->fleet.options.daemons));
+        auto zone = "z" + std::to_string(this->fleet.pick(this->fleet.options.zones) + 1);
+        switch (this->fleet.pick(this->calm)) {
+        case 0:
+            this->fleet.kill(daemon);
+            this->fleet.after(Milliseconds(500 + this->fleet.pick(5000)), [this, daemon] {
+                if (!this->fleet.daemons[daemon].alive)
+                    this->fleet.start(daemon);
+            });
+            break;
+        case 1:
+            this->fleet.freeze(daemon);
+            this->fleet.after(Milliseconds(this->fleet.pick(40000)), [this, daemon] { this->fleet.wake(daemon); });
+            break;
+        case 2:
+            this->fleet.cutZone(zone, true);
+            this->fleet.after(
+                Milliseconds(this->fleet.pick(40000)), [this, zone] { this->fleet.cutZone(zone, false); });
+            break;
+        case 3:
+            this->fleet.store.down = true;
+            this->fleet.after(Milliseconds(this->fleet.pick(10000)), [this] { this->fleet.store.down = false; });
+            break;
+        case 4:
+            this->fleet.daemons[daemon].storeCut = !this->fleet.daemons[daemon].storeCut;
+            break;
+        case 5:
+            this->changeLimit();
+            break;
+        default:
+            break;
+        }
+    }
+
+    void changeLimit()
+    {
+        bool settled = this->fleet.clock.current() >= this->changedAt + Seconds(5);
+        if (this->fleet.store.down || !settled)
+            return;
+        this->earlierLimit = this->limit;
+        this->limit = 5 + this->fleet.pick(40);
+        this->changedAt = this->fleet.clock.current();
+        this->revision += 1;
+        this->fleet.accept(makeDocument(this->revision, this->limit, this->fleet.options.endpointsPerService));
+    }
+
+    SimulatedFleet fleet;
+    /// Number of steps within which each kind of disturbance comes once on average.
+    int calm;
+    int limit = 30;
+    int earlierLimit = 30;
+    Instant changedAt = Instant {};
+    std::uint64_t revision = 1;
+    /// Largest excess over the limit; negative while it has never been reached.
+    int worst = -1000;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(LimitEscrowSuite)
+
+BOOST_AUTO_TEST_CASE(divisionIsWholeAndProportional)
+{
+    BOOST_TEST(divideByWeight(8, { 1, 1, 1 }) == (std::vector<int> { 3, 3, 2 }), boost::test_tools::per_element());
+    BOOST_TEST(divideByWeight(5, { 0, 100, 0 }) == (std::vector<int> { 0, 5, 0 }), boost::test_tools::per_element());
+    BOOST_TEST(divideByWeight(5, { 0, 0 }) == (std::vector<int> { 0, 0 }), boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_CASE(bookSurvivesItsTextAndRefusesOthers)
+{
+    AllotmentBook book;
+    book.assign(TeamId("a"), IncarnationId("i1"), 3);
+    book.assign(TeamId("a"), IncarnationId("i2"), 4);
+    BOOST_TEST((AllotmentBook::parse(book.format()).value() == book));
+    BOOST_TEST(book.sumOf(TeamId("a")) == 7);
+    BOOST_TEST(AllotmentBook::parse("{\"teams\":{\"a\":{\"i1\":-1}}}").has_error());
+    BOOST_TEST(AllotmentBook::parse("[]").has_error());
+}
+
+BOOST_FIXTURE_TEST_CASE(longLossOfContactVoidsAllotmentsUntilAWriteSucceeds, PlaneFixture)
+{
+    this->startServing();
+    this->storeAnswers = false;
+    auto renewal = only<UpdateAllotments>(this->wait(Milliseconds(8001)));
+    PeerState peer;
+    peer.incarnation = IncarnationId("i2");
+    peer.zone = ZoneId("z2");
+    peer.confirmationAge = Milliseconds(0);
+    this->tick(PeerHeard { peer, this->clock.current() });
+    BOOST_TEST(renewal.expectedVersion == 1);
+    BOOST_TEST(pick<SendAttempt>(this->tick(this->makeRequest("r1", "quotes", "k1"))).empty());
+    auto outputs = this->tick(AllotmentsRead { 2, renewal.value, true });
+    BOOST_TEST(pick<SendAttempt>(outputs).size() == 1);
+}
+
+BOOST_FIXTURE_TEST_CASE(reclaimedAllotmentStartsNothing, PlaneFixture)
+{
+    this->startServing();
+    this->storeAnswers = false;
+    this->tick(AllotmentsRead { 2, R"({"teams":{"booking":{"i2":10}}})", false });
+    BOOST_TEST(pick<SendAttempt>(this->tick(this->makeRequest("r1", "quotes", "k1"))).empty());
+    AllotmentsRead older { 1, R"({"teams":{"booking":{"i1":10}}})", false };
+    BOOST_TEST(pick<SendAttempt>(this->tick(older)).empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(unitsOfALostHandBackStayUnusedUntilItIsSettled, PlaneFixture)
+{
+    this->startServing();
+    this->storeAnswers = false;
+    PeerState peer;
+    peer.incarnation = IncarnationId("i2");
+    peer.zone = ZoneId("z2");
+    peer.demand = { TeamDemand { QueueId("quotes"), TeamId("booking"), 0, 6 } };
+    this->clock.advance(Milliseconds(50));
+    auto handBack = only<UpdateAllotments>(this->tick(PeerHeard { peer, this->clock.current() }));
+    BOOST_TEST(handBack.value.find(R"("booking":{"i1":4})") != std::string::npos);
+    this->tick(AllotmentsWriteFailed { true });
+    auto countSent = [&](RequestInput last) {
+        std::vector<RequestInput> inputs;
+        for (int index = 0; index < 10; ++index) {
+            this->requests += 1;
+            inputs.emplace_back(this->makeRequest("r" + std::to_string(this->requests), "quotes", "k1"));
+        }
+        inputs.push_back(std::move(last));
+        return pick<SendAttempt>(this->tick(inputs)).size();
+    };
+    BOOST_TEST(countSent(AllotmentsRead { 1, R"({"teams":{"booking":{"i1":10}}})", false }) == 4);
+    BOOST_TEST(countSent(AllotmentsRead { 2, R"({"teams":{"booking":{"i1":10}}})", false }) == 6);
+}
+
+BOOST_AUTO_TEST_CASE(allotmentOfADeadDaemonStaysReservedWhileItsWorkRuns)
+{
+    FleetOptions options;
+    SimulatedFleet fleet(options);
+    fleet.accept(makeDocument(1, 10, options.endpointsPerService));
+    for (std::size_t daemon = 0; daemon < fleet.daemons.size(); ++daemon)
+        fleet.start(daemon);
+    int worst = 0;
+    fleet.onBegin = [&](const RunningWork&) { worst = std::max(worst, fleet.runningOf("booking")); };
+    fleet.run(Seconds(3));
+    for (int count = 0; count < 10; ++count)
+        fleet.submit(0, "quotes", "k1", Seconds(20), Seconds(90));
+    fleet.run(Seconds(2));
+    BOOST_TEST(fleet.runningOf("booking") == 10);
+    fleet.kill(0);
+    auto loadFor = [&](int seconds) {
+        for (int step = 0; step < seconds * 10; ++step) {
+            fleet.submit(1 + static_cast<std::size_t>(step % 6), "quotes", "k1", Seconds(2), Milliseconds(900));
+            fleet.run(Milliseconds(100));
+        }
+    };
+    loadFor(80);
+    BOOST_TEST(fleet.runningOf("booking") == 10);
+    loadFor(20);
+    BOOST_TEST(worst == 10);
+    BOOST_TEST(fleet.store.value.find("i1001") == std::string::npos);
+    BOOST_TEST(fleet.runningOf("booking") >= 8);
+}
+
+BOOST_AUTO_TEST_CASE(limitHoldsInRandomSchedules)
+{
+    int reached = 0;
+    for (std::uint64_t seed = 1; seed <= scheduleSeeds; ++seed) {
+        RandomSchedule schedule(seed);
+        schedule.play(1200);
+        BOOST_TEST(schedule.worst <= 0, "seed " << seed << " passed the limit by " << schedule.worst);
+        reached += schedule.worst == 0 ? 1 : 0;
+        auto answered = std::count_if(schedule.fleet.records.begin(), schedule.fleet.records.end(),
+            [](const OutcomeRecord& record) { return record.ended && record.outcome == Outcome::Answered; });
+        BOOST_TEST(answered > 100, "seed " << seed << " answered only " << answered);
+    }
+    BOOST_TEST(reached > scheduleSeeds / 2);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/modules/fleet/tests/PlaneFixture.h
+++ b/modules/fleet/tests/PlaneFixture.h
@@ -76,13 +76,28 @@
         this->tick(DocumentApplied { makeDocument(1) });
         this->tick(StoreConfirmed { this->clock.current(), 1 });
         this->tick(makeEndpoints());
+        this->tick(AllotmentsRead { 1, R"({"teams":{"booking":{"i1":10},"lights":{"i1":10}}})", false });
     }
 
     std::vector<RequestOutput> tick(RequestInput input) { return this->tick(std::vector { std::move(input) }); }
 
     std::vector<RequestOutput> tick(std::vector<RequestInput> inputs)
     {
-        return this->plane.tick(this->clock.current(), std::move(inputs));
+        auto outputs = this->plane.tick(this->clock.current(), std::move(inputs));
+        this->answerWrites(outputs);
+        return outputs;
+    }
+
+    /// Answers a write of the allotments as a store would that nobody else writes to.
+    void answerWrites(std::vector<RequestOutput>& outputs)
+    {
+        for (const auto& update : pick<UpdateAllotments>(outputs)) {
+            if (!this->storeAnswers)
+                break;
+            AllotmentsRead read { update.expectedVersion + 1, update.value, true };
+            auto more = this->plane.tick(this->clock.current(), { read });
+            outputs.insert(outputs.end(), more.begin(), more.end());
+        }
     }
 
     std::vector<RequestOutput> wait(Microseconds span)
@@ -115,6 +130,9 @@
 
     ManualClock clock;
     RequestPlane plane;
+    /// Whether writes of the allotments succeed at once; otherwise the test answers them.
+    bool storeAnswers = true;
+    int requests = 0;
 };
 
 } // namespace Greengage
--- a/modules/fleet/tests/ThinPathTests.cpp
+++ b/modules/fleet/tests/ThinPathTests.cpp
@@ -118,6 +118,8 @@
     BOOST_TEST((refused.reason == OutcomeReason::ShuttingDown));
     auto answer = only<AnswerCaller>(this->tick(ended(attempt, AttemptResult::Answered)));
     BOOST_TEST((answer.outcome == Outcome::Answered));
+    auto handedBack = only<UpdateAllotments>(this->wait(Milliseconds(50)));
+    BOOST_TEST(handedBack.value == R"({"teams":{}})");
     BOOST_TEST(this->plane.isIdle());
 }
 
--- /dev/null
+++ b/modules/fleet/tests/simulation/FleetOptions.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <core/time/Instant.h>
+
+#include <cstdint>
+
+namespace Greengage {
+
+/// Sizes, delays and fault rates of a simulated fleet.
+struct FleetOptions {
+    int daemons = 7;
+    int zones = 4;
+    int endpointsPerService = 10;
+    std::uint64_t seed = 1;
+    Microseconds networkDelay { 1000 };
+    Microseconds storeDelay { 3000 };
+    /// Parts of the writes whose answer is lost, after taking effect at once or only later.
+    double lostWriteAnswers = 0;
+    double lateWrites = 0;
+    /// Part of the attempts whose connection breaks after the endpoint has begun.
+    double brokenAttempts = 0;
+};
+
+} // namespace Greengage
--- /dev/null
+++ b/modules/fleet/tests/simulation/SimulatedDaemon.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <fleet/requests/RequestPlane.h>
+
+#include <memory>
+#include <vector>
+
+namespace Greengage {
+
+/// One daemon of a simulated fleet: its request plane and what the world does to it.
+class SimulatedDaemon {
+public:
+    bool runs() const { return this->alive && !this->frozen; }
+
+    PeerState identity;
+    std::unique_ptr<RequestPlane> plane;
+    bool alive = false;
+    bool frozen = false;
+    /// Whether only the way to the store is cut.
+    bool storeCut = false;
+    Instant leaseEnd = Instant::min();
+    std::uint64_t appliedRevision = 0;
+    /// Inputs that arrived while it was frozen.
+    std::vector<RequestInput> held;
+};
+
+} // namespace Greengage
--- /dev/null
+++ b/modules/fleet/tests/simulation/SimulatedFleet.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include <config/model/Document.h>
+#include <core/time/ManualClock.h>
+#include <fleet/tests/simulation/FakeAllotmentStore.h>
+#include <fleet/tests/simulation/FakeEndpoint.h>
+#include <fleet/tests/simulation/FleetOptions.h>
+#include <fleet/tests/simulation/OutcomeRecord.h>
+#include <fleet/tests/simulation/SimulatedDaemon.h>
+
+#include <functional>
+#include <map>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace Greengage {
+
+/// Several request planes on one virtual clock, with a fake store, fake endpoints and a network that can be cut. One
+/// seed gives one history.
+class SimulatedFleet {
+public:
+    explicit SimulatedFleet(const FleetOptions&);
+
+    /// Puts a document of the given revision in force.
+    void accept(std::shared_ptr<const Document>);
+    /// Runs the virtual clock forward.
+    void run(Microseconds span);
+    /// Calls a function at a later instant.
+    void after(Microseconds delay, std::function<void()>);
+
+    /// Sends a request to a daemon; it runs for `runTime` once begun. Gives the index of its record.
+    std::size_t submit(std::size_t daemon, const std::string& queue, const std::string& key, Microseconds timeout,
+        Microseconds runTime);
+
+    void start(std::size_t daemon);
+    void kill(std::size_t daemon);
+    void freeze(std::size_t daemon);
+    void wake(std::size_t daemon);
+    void stop(std::size_t daemon);
+    void cutZone(const std::string& zone, bool cut);
+
+    int runningOf(const std::string& team) const;
+    double uniform();
+    int pick(int count);
+
+    ManualClock clock;
+    FleetOptions options;
+    FakeAllotmentStore store;
+    std::vector<SimulatedDaemon> daemons;
+    std::vector<FakeEndpoint> endpoints;
+    std::vector<OutcomeRecord> records;
+    std::set<VmId> draining;
+    /// Called when an endpoint begins a request.
+    std::function<void(const RunningWork&)> onBegin;
+
+private:
+    bool connected(const ZoneId&, const ZoneId&) const;
+    bool reachesStore(const SimulatedDaemon&) const;
+    void deliver(std::size_t daemon, const IncarnationId&, RequestInput);
+    void tick(std::size_t daemon, std::vector<RequestInput>);
+    void repeat(std::size_t daemon, const IncarnationId&, Microseconds interval, std::function<void()>);
+    void exchangeWithPeers(std::size_t daemon);
+    void exchange(std::size_t from, std::size_t to, Instant askedAt);
+    void hear(std::size_t daemon, const PeerState&, Instant askedAt);
+    void readStore(std::size_t daemon);
+    void listMembers(std::size_t daemon);
+    void announceAllotments();
+
+    void carryOut(std::size_t daemon, const SendAttempt&);
+    void carryOut(std::size_t daemon, const AnswerCaller&);
+    void carryOut(std::size_t daemon, const WriteClaim&);
+    void carryOut(std::size_t daemon, const UpdateAllotments&);
+    void carryOut(std::size_t daemon, const AskRunning&);
+
+    void firstByte(std::size_t daemon, const IncarnationId&, const SendAttempt&);
+    void arrive(std::size_t daemon, const IncarnationId&, const SendAttempt&);
+    void endAttempt(std::size_t daemon, const IncarnationId&, const SendAttempt&, AttemptResult);
+    FakeEndpoint& endpointOf(const VmId&);
+
+    std::mt19937_64 random;
+    std::multimap<Instant, std::function<void()>> events;
+    std::vector<std::shared_ptr<const Document>> documents;
+    std::map<RequestId, Microseconds> runTimes;
+    std::set<std::string> claims;
+    std::set<ZoneId> cutZones;
+    int incarnations = 0;
+};
+
+} // namespace Greengage
