Make the first book of allotments without having read one

A daemon that starts before the value limits/allotments exists is never told of it, so no allotment was ever made and keyed work waited for ever. Until a book has been read it counts as absent: the first write expects version 0, which fails if the value exists, and the value is then read.

Seen failing first: with the book unreadable until read, firstDaemonMakesTheBookWithoutHavingReadOne failed. Restored, fleet_tests: 27 cases, no errors.

--- a/modules/fleet/requests/RequestPlane.cpp
+++ b/modules/fleet/requests/RequestPlane.cpp
@@ -90,6 +90,11 @@
     PeerState state = tables.self;
     FreshnessFence(tick).describe(state);
     state.shuttingDown = tables.shuttingDown;
+    state.appliedLedgerRevision = tables.ledgerRevision;
+    for (const auto& [id, endpoint] : tables.endpoints) {
+        if (endpoint.draining && endpoint.running > 0)
+            state.busyDrainingVms.push_back(id);
+    }
     for (const auto& [key, line] : tables.lines) {
         if (line.running > 0 || line.waiting > 0)
             state.demand.push_back(TeamDemand { key.queue, key.team, line.running, line.waiting });
--- a/modules/fleet/requests/dispatch/EndpointTable.cpp
+++ b/modules/fleet/requests/dispatch/EndpointTable.cpp
@@ -14,6 +14,7 @@
 {
     auto& endpoints = this->tick.tables.endpoints;
     this->tick.tables.endpointsKnown = true;
+    this->tick.tables.ledgerRevision = listed.ledgerRevision;
     for (auto& [id, endpoint] : endpoints) {
         endpoint.listed = false;
         endpoint.open = false;
@@ -25,7 +26,8 @@
         row.port = vm.port;
         row.zone = vm.zone;
         row.listed = true;
-        row.open = vm.state == VmState::Live && !listed.draining.contains(vm.id);
+        row.draining = listed.draining.contains(vm.id);
+        row.open = vm.state == VmState::Live && !row.draining;
     }
     std::erase_if(endpoints, [](const auto& entry) { return !entry.second.listed && entry.second.running == 0; });
     this->assignServices();
--- a/modules/fleet/requests/limits/EscrowState.h
+++ b/modules/fleet/requests/limits/EscrowState.h
@@ -12,11 +12,12 @@
 
 /// What this daemon knows of the allotments of the teams' limits, and what it is doing to its own.
 struct EscrowState {
-    /// The newest book that has been read, and its version in the store.
+    /// The newest book that has been read, and its version in the store. Until one has been read it counts as absent,
+    /// which a write that expects version 0 finds out.
     AllotmentBook book;
     std::uint64_t version = 0;
-    /// Whether a book has been read and could be understood.
-    bool readable = false;
+    /// Whether the newest book could be understood.
+    bool readable = true;
     bool writeUnderWay = false;
     /// Whether some write of ours may still take effect.
     bool unsettled = false;
--- a/modules/fleet/requests/limits/LimitEscrow.cpp
+++ b/modules/fleet/requests/limits/LimitEscrow.cpp
@@ -69,8 +69,7 @@
         if (this->state.writeRenews)
             this->state.isVoid = this->state.wasMember && !this->state.isMember;
     }
-    bool first = this->state.version == 0 && !this->state.readable;
-    if (read.version <= this->state.version && !first)
+    if (read.version <= this->state.version)
         return;
     this->state.version = read.version;
     auto book = AllotmentBook::parse(read.value);
--- a/modules/fleet/requests/tables/EndpointRow.h
+++ b/modules/fleet/requests/tables/EndpointRow.h
@@ -18,6 +18,8 @@
     ServiceId service;
     /// Whether the platform still lists it.
     bool listed = false;
+    /// Whether maintenance holds it out of service.
+    bool draining = false;
     /// Whether it may get new work: listed as live and not draining.
     bool open = false;
     /// How many requests of this daemon it holds.
--- a/modules/fleet/requests/tables/RequestTables.h
+++ b/modules/fleet/requests/tables/RequestTables.h
@@ -50,6 +50,8 @@
     std::map<VmId, EndpointRow> endpoints;
     /// Whether the platform's list has ever been read.
     bool endpointsKnown = false;
+    /// Revision of the maintenance ledger that the draining endpoints were taken from.
+    std::uint64_t ledgerRevision = 0;
     std::vector<UnknownWork> unknownWork;
     EscrowState escrow;
     bool shuttingDown = false;
--- a/modules/fleet/tests/LimitEscrowTests.cpp
+++ b/modules/fleet/tests/LimitEscrowTests.cpp
@@ -169,6 +169,20 @@
     BOOST_TEST(pick<SendAttempt>(outputs).size() == 1);
 }
 
+BOOST_FIXTURE_TEST_CASE(firstDaemonMakesTheBookWithoutHavingReadOne, PlaneFixture)
+{
+    this->storeAnswers = false;
+    auto update = only<UpdateAllotments>(this->tick(
+        { DocumentApplied { makeDocument(1) }, StoreConfirmed { this->clock.current(), 1 }, makeEndpoints() }));
+    BOOST_TEST(update.expectedVersion == 0);
+    BOOST_TEST(!update.value.empty());
+    this->tick(AllotmentsWriteFailed { false });
+    BOOST_TEST(pick<SendAttempt>(this->tick(this->makeRequest("r1", "quotes", "k1"))).empty());
+    AllotmentsRead others { 5, R"({"teams":{"booking":{"i2":9}}})", false };
+    BOOST_TEST(pick<UpdateAllotments>(this->tick(others)).empty());
+    BOOST_TEST(only<UpdateAllotments>(this->wait(Milliseconds(50))).expectedVersion == 5);
+}
+
 BOOST_FIXTURE_TEST_CASE(reclaimedAllotmentStartsNothing, PlaneFixture)
 {
     this->startServing();
--- a/modules/fleet/tests/PlaneFixture.h
+++ b/modules/fleet/tests/PlaneFixture.h
@@ -73,10 +73,10 @@
     /// Applies the document and lists the endpoints, with a fresh confirmation from the store.
     void startServing()
     {
+        this->tick(AllotmentsRead { 1, R"({"teams":{"booking":{"i1":10},"lights":{"i1":10}}})", false });
         this->tick(DocumentApplied { makeDocument(1) });
         this->tick(StoreConfirmed { this->clock.current(), 1 });
         this->tick(makeEndpoints());
-        this->tick(AllotmentsRead { 1, R"({"teams":{"booking":{"i1":10},"lights":{"i1":10}}})", false });
     }
 
     std::vector<RequestOutput> tick(RequestInput input) { return this->tick(std::vector { std::move(input) }); }
--- a/modules/fleet/tests/ThinPathTests.cpp
+++ b/modules/fleet/tests/ThinPathTests.cpp
@@ -103,9 +103,14 @@
     BOOST_TEST(pick<SendAttempt>(this->tick(this->makeRequest("r2", "quotes", "k1"))).empty());
     auto draining = makeEndpoints();
     draining.draining.insert(VmId("e1"));
+    draining.ledgerRevision = 7;
     BOOST_TEST(only<SendAttempt>(this->tick(draining)).endpoint.string() == "e2");
+    auto told = this->plane.describe(this->clock.current());
+    BOOST_TEST(told.appliedLedgerRevision == 7);
+    BOOST_TEST((told.busyDrainingVms == std::vector { VmId("e1") }));
     auto answer = only<AnswerCaller>(this->tick(ended(attempt, AttemptResult::Answered)));
     BOOST_TEST((answer.outcome == Outcome::Answered));
+    BOOST_TEST(this->plane.describe(this->clock.current()).busyDrainingVms.empty());
 }
 
 BOOST_AUTO_TEST_CASE(shutdownFinishesAcceptedWorkAndRefusesMore)
