Drive maintenance waves from a ledger that any daemon can go on from

Cause: waves must hold the availability budgets, stop VMs gracefully and outlive the daemon that drives them. Ruled out: a lease on being the driver, since a paused holder acts after it has lapsed; compare-and-swap of the ledger, numbered reboots and moves bound to one revision of the document need no holder. Ruled out: merging a move into a newer document, since a late move could then undo a later one. Change: MaintenancePlane and its systems (commands, recall, advance, drain, settle), the pessimistic view of the fleet and the outage table. Conclusion: the daemon can carry the outputs out; a dry run of a wave is still to come.

--- a/cmake/Packages.cmake
+++ b/cmake/Packages.cmake
@@ -30,7 +30,10 @@
         BOOST_TEST_DYN_LINK
         SOURCE_ROOT="${PROJECT_SOURCE_DIR}" BINARY_ROOT="${CMAKE_BINARY_DIR}")
     # Only the file that defines the module's name brings the program's main function.
-    list(GET TEST_SOURCES 0 first)
+    set(candidates ${TEST_SOURCES})
+    list(FILTER candidates INCLUDE REGEX "Tests\\.cpp$")
+    list(APPEND candidates ${TEST_SOURCES})
+    list(GET candidates 0 first)
     set_source_files_properties(${first} PROPERTIES COMPILE_DEFINITIONS BOOST_TEST_MODULE=${name})
     target_include_directories(${name} PRIVATE ${PROJECT_SOURCE_DIR})
     target_link_libraries(${name} PRIVATE ${TEST_DEPENDS} Boost::unit_test_framework)
--- a/modules/fleet/maintenance/MaintenanceOutput.h
+++ b/modules/fleet/maintenance/MaintenanceOutput.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <fleet/maintenance/messages/CommandSettled.h>
+#include <fleet/maintenance/messages/LedgerUnreadable.h>
 #include <fleet/maintenance/messages/MoveVm.h>
 #include <fleet/maintenance/messages/ReadLedger.h>
 #include <fleet/maintenance/messages/RebootVm.h>
@@ -14,6 +15,6 @@
 
 /// Everything that the maintenance plane can ask for.
 using MaintenanceOutput
-    = std::variant<ReadLedger, UpdateLedger, RebootVm, MoveVm, AskRunning, CommandSettled, WaveEvent>;
+    = std::variant<ReadLedger, UpdateLedger, RebootVm, MoveVm, AskRunning, CommandSettled, WaveEvent, LedgerUnreadable>;
 
 } // namespace Greengage
--- a/modules/fleet/maintenance/ledger/MaintenanceLedger.cpp
+++ b/modules/fleet/maintenance/ledger/MaintenanceLedger.cpp
@@ -20,6 +20,8 @@
     Json::Value value;
     value["vm"] = entry.vm.string();
     value["wave"] = entry.wave.string();
+    value["zone"] = entry.zone.string();
+    value["rack"] = entry.rack.string();
     value["phase"] = std::string(nameOf(entry.phase));
     value["from"] = entry.from.string();
     value["revision"] = Json::UInt64(entry.revision);
@@ -27,6 +29,8 @@
         value["to"] = entry.to.string();
     if (entry.documentRevision != 0)
         value["documentRevision"] = Json::UInt64(entry.documentRevision);
+    if (entry.isRollback)
+        value["rollback"] = true;
     return value;
 }
 
@@ -77,6 +81,15 @@
         return 0;
     }
 
+    bool flag(const Json::Value& object, const char* member)
+    {
+        if (!object.isObject() || !object.isMember(member))
+            return false;
+        if (!object[member].isBool())
+            this->refuse(member, "true or false");
+        return object[member].isBool() && object[member].asBool();
+    }
+
     template <NamedEnum Enum> Enum enumerator(const Json::Value& object, const char* member)
     {
         auto value = enumFromName<Enum>(this->text(object, member));
@@ -122,11 +135,14 @@
     VmMaintenance entry;
     entry.vm = VmId(reader.text(value, "vm"));
     entry.wave = WaveId(reader.text(value, "wave"));
+    entry.zone = ZoneId(reader.text(value, "zone"));
+    entry.rack = RackId(reader.text(value, "rack"));
     entry.phase = reader.enumerator<MaintenancePhase>(value, "phase");
     entry.from = PoolId(reader.text(value, "from"));
     entry.to = PoolId(reader.text(value, "to", false));
     entry.revision = reader.number(value, "revision");
     entry.documentRevision = reader.number(value, "documentRevision", false);
+    entry.isRollback = reader.flag(value, "rollback");
     return entry;
 }
 
@@ -186,6 +202,7 @@
 {
     Json::Value root;
     root["revision"] = Json::UInt64(this->revision);
+    root["documentRevision"] = Json::UInt64(this->documentRevision);
     root["vms"] = Json::Value(Json::arrayValue);
     for (const auto& entry : this->vms)
         root["vms"].append(encodeVm(entry));
@@ -211,6 +228,7 @@
         return LedgerError { fault };
     LedgerReader reader;
     ledger.revision = reader.number(root, "revision");
+    ledger.documentRevision = reader.number(root, "documentRevision");
     for (const auto& entry : reader.list(root, "vms"))
         ledger.vms.push_back(decodeVm(reader, entry));
     for (const auto& wave : reader.list(root, "waves"))
--- a/modules/fleet/maintenance/ledger/MaintenanceLedger.h
+++ b/modules/fleet/maintenance/ledger/MaintenanceLedger.h
@@ -21,6 +21,8 @@
 struct MaintenanceLedger {
     /// Grows by one with each write; 0 for a ledger that has never been written.
     std::uint64_t revision = 0;
+    /// Newest revision of the document that a writer has gone by. A daemon with an older document writes nothing.
+    std::uint64_t documentRevision = 0;
     std::vector<VmMaintenance> vms;
     std::vector<WaveProgress> waves;
 
@@ -33,6 +35,8 @@
     /// The VMs that get no new work.
     std::set<VmId> outOfService() const;
 
+    bool operator==(const MaintenanceLedger&) const = default;
+
     std::string encode() const;
     /// Decodes a stored value. An empty text is the ledger that has never been written.
     static Result<MaintenanceLedger, LedgerError> decode(const std::string& text);
--- a/modules/fleet/maintenance/ledger/MovedVm.h
+++ b/modules/fleet/maintenance/ledger/MovedVm.h
@@ -9,6 +9,8 @@
     VmId vm;
     /// Pool that it came from, for a rollback; empty when it was not moved.
     PoolId from;
+
+    bool operator==(const MovedVm&) const = default;
 };
 
 } // namespace Greengage
--- a/modules/fleet/maintenance/ledger/VmMaintenance.h
+++ b/modules/fleet/maintenance/ledger/VmMaintenance.h
@@ -11,6 +11,8 @@
 struct VmMaintenance {
     VmId vm;
     WaveId wave;
+    ZoneId zone;
+    RackId rack;
     MaintenancePhase phase = MaintenancePhase::Draining;
     /// Pool of the VM when its drain began.
     PoolId from;
@@ -21,6 +23,10 @@
     std::uint64_t revision = 0;
     /// For a Joining VM that was moved, the revision of the document that named it in its new pool; otherwise 0.
     std::uint64_t documentRevision = 0;
+    /// Whether it is a move back, for a wave that is being rolled back.
+    bool isRollback = false;
+
+    bool operator==(const VmMaintenance&) const = default;
 };
 
 } // namespace Greengage
--- a/modules/fleet/maintenance/ledger/WaveProgress.h
+++ b/modules/fleet/maintenance/ledger/WaveProgress.h
@@ -20,6 +20,8 @@
     std::vector<MovedVm> done;
     /// VMs that were put back because they had not drained in time.
     std::vector<VmId> stuck;
+
+    bool operator==(const WaveProgress&) const = default;
 };
 
 } // namespace Greengage
--- /dev/null
+++ b/modules/fleet/maintenance/systems/CommandSystem.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include <fleet/maintenance/messages/CommandOutcome.h>
+
+namespace Greengage {
+
+struct WaveCommanded;
+struct WaveContext;
+
+/// Applies an operator's command to the draft of the ledger. Accepted means that the draft holds it.
+CommandOutcome applyCommand(WaveContext&, const WaveCommanded&);
+
+} // namespace Greengage
--- /dev/null
+++ b/modules/fleet/maintenance/systems/PutBack.cpp
@@ -0,0 +1,24 @@
+#include <core/checks/Assertion.h>
+#include <fleet/maintenance/ledger/MaintenanceLedger.h>
+#include <fleet/maintenance/systems/PutBack.h>
+#include <fleet/maintenance/systems/WaveContext.h>
+
+namespace Greengage {
+
+void putBack(WaveContext& context, const VmMaintenance& held, WaveEventKind kind)
+{
+    const auto entry = held;
+    assertInvariant(entry.phase == MaintenancePhase::Draining, "only a draining VM is put back");
+    if (auto* progress = context.draft.find(entry.wave)) {
+        if (entry.isRollback)
+            progress->done.push_back({ entry.vm, entry.to });
+        else if (kind == WaveEventKind::DrainTimedOut)
+            progress->stuck.push_back(entry.vm);
+        else
+            progress->remaining.push_back(entry.vm);
+    }
+    context.draft.erase(entry.vm);
+    context.report(kind, entry.vm, entry.wave);
+}
+
+} // namespace Greengage
--- /dev/null
+++ b/modules/fleet/maintenance/systems/WaveContext.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <core/time/Instant.h>
+#include <fleet/maintenance/messages/WaveEvent.h>
+#include <fleet/maintenance/systems/VmWatch.h>
+
+#include <unordered_map>
+#include <vector>
+
+namespace Greengage {
+
+class FleetView;
+struct MaintenanceLedger;
+
+/// The tables that the systems of maintenance run over in one tick.
+struct WaveContext {
+    Instant now;
+    const FleetView& view;
+    /// The ledger as it is to be written.
+    MaintenanceLedger& draft;
+    const std::unordered_map<VmId, VmWatch>& watches;
+    /// What the write will have done.
+    std::vector<WaveEvent>& events;
+
+    void report(WaveEventKind kind, const VmId& vm, const WaveId& wave) { this->events.push_back({ kind, vm, wave }); }
+};
+
+} // namespace Greengage
--- /dev/null
+++ b/modules/fleet/tests/maintenance/FakeWrite.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <core/time/Instant.h>
+#include <fleet/maintenance/messages/UpdateLedger.h>
+
+namespace Greengage {
+
+/// A write that the store takes at a later instant, possibly after its sender has given up.
+struct FakeWrite {
+    Instant at;
+    Instant sentAt;
+    std::size_t daemon = 0;
+    int incarnation = 0;
+    UpdateLedger update;
+    bool answerIsLost = false;
+};
+
+} // namespace Greengage
--- a/modules/fleet/tests/maintenance/LedgerTests.cpp
+++ b/modules/fleet/tests/maintenance/LedgerTests.cpp
@@ -10,7 +10,8 @@
 {
     MaintenanceLedger ledger;
     ledger.revision = 7;
-    ledger.vms.push_back({ VmId("vm-1"), WaveId("w"), MaintenancePhase::Joining, PoolId("a"), PoolId("b"), 5, 12 });
+    ledger.vms.push_back({ VmId("vm-1"), WaveId("w"), ZoneId("z"), RackId("r"), MaintenancePhase::Joining, PoolId("a"),
+        PoolId("b"), 5, 12, true });
     WaveProgress wave;
     wave.wave = WaveId("w");
     wave.state = WaveState::Paused;
@@ -33,6 +34,7 @@
     BOOST_REQUIRE(decoded.has_value());
     BOOST_TEST(decoded.value().encode() == text);
     BOOST_TEST(decoded.value().vms[0].documentRevision == 12U);
+    BOOST_TEST(decoded.value().vms[0].isRollback);
     BOOST_TEST((decoded.value().waves[0].state == WaveState::Paused));
     BOOST_TEST(decoded.value().outOfService().count(VmId("vm-1")) == 1U);
 }
@@ -46,10 +48,10 @@
 
 BOOST_AUTO_TEST_CASE(aWrongMemberIsNamed)
 {
-    auto refused = MaintenanceLedger::decode(R"({"revision":1,"vms":[{"vm":3}],"waves":[]})");
+    auto refused = MaintenanceLedger::decode(R"({"revision":1,"documentRevision":1,"vms":[{"vm":3}],"waves":[]})");
     BOOST_REQUIRE(!refused.has_value());
     BOOST_TEST(refused.error().detail == "vm: expected a text");
-    BOOST_TEST(!MaintenanceLedger::decode(R"({"revision":"1","vms":[],"waves":[]})").has_value());
+    BOOST_TEST(!MaintenanceLedger::decode(R"({"revision":"1","documentRevision":1,"vms":[],"waves":[]})").has_value());
 }
 
 BOOST_AUTO_TEST_SUITE_END()
