--- a/modules/fleet/maintenance/MaintenanceInput.h
+++ b/modules/fleet/maintenance/MaintenanceInput.h
@@ -7,6 +7,7 @@
 #include <fleet/maintenance/messages/WaveCommanded.h>
 #include <fleet/requests/messages/DocumentApplied.h>
 #include <fleet/requests/messages/EndpointsListed.h>
+#include <fleet/requests/messages/MembersListed.h>
 #include <fleet/requests/messages/PeerHeard.h>
 #include <fleet/requests/messages/RunningReported.h>
 
--- a/modules/fleet/maintenance/systems/FleetView.cpp
+++ b/modules/fleet/maintenance/systems/FleetView.cpp
@@ -3,6 +3,7 @@
 #include <fleet/maintenance/systems/FleetView.h>
 #include <fleet/requests/messages/DocumentApplied.h>
 #include <fleet/requests/messages/EndpointsListed.h>
+#include <fleet/requests/messages/MembersListed.h>
 #include <fleet/requests/messages/PeerHeard.h>
 #include <fleet/requests/messages/RunningReported.h>
 
