Count, time and log what becomes of requests; replace daemons without a cut

Cause: operators saw nothing of outcomes, and a daemon that stopped left connections in the kernel's backlog to be reset. Change: counters of outcomes by queue, team and reason, attempts, refusals, store calls by kind (the store client counts them: one new method in its header), mesh bytes, ticks and their time, demand, processor time, memory and descriptors on the metrics page; burn rows on the admin port; one log line a second for each kind of failure. On SIGTERM a daemon goes on accepting for a second while its health page says no, answers with Connection: close, then closes its listener, waits for operators' answers too and withdraws. Queue names that callers make up are not kept. Conclusion: a rolling replacement under one caller loses, cuts and doubles nothing.

--- a/modules/daemon/Daemon.cpp
+++ b/modules/daemon/Daemon.cpp
@@ -6,6 +6,8 @@
 #include <core/log/LogLine.h>
 #include <core/text/Digest.h>
 #include <core/time/BootClock.h>
+#include <daemon/metrics/DaemonGauges.h>
+#include <metrics/burn/BurnCodec.h>
 #include <platform/store/StoreEntry.h>
 
 #include <fleet/requests/RequestOutput.h>
@@ -19,6 +21,8 @@
 constexpr const char* documentKey = "config/document";
 /// How long the last answers may take to reach callers once nothing else is left to do.
 constexpr Milliseconds connectionCloseTimeout { 1000 };
+/// How long a daemon that is to stop goes on accepting callers, while its health page says that it does not serve.
+constexpr Milliseconds announceTime { 1000 };
 constexpr Milliseconds freshConfirmation { 3000 };
 
 CallerLimits toLimits(const CallerSettings& settings)
@@ -40,6 +44,7 @@
     , plane(this->self)
     , store(base, settings.store.address, settings.store.port, settings.address)
     , documents([this](std::shared_ptr<const Document> document) {
+        this->observer.documentApplied(document);
         this->push(DocumentApplied { std::move(document) });
         this->peerExchange.exchangeNow();
     })
@@ -87,10 +92,17 @@
 Gateway::Handlers Daemon::gatewayHandlers()
 {
     Gateway::Handlers handlers;
-    handlers.input = [this](RequestInput input) { this->push(std::move(input)); };
-    handlers.refused = [](CallerRefusal) {};
+    handlers.input = [this](RequestInput input) {
+        if (const auto* ended = std::get_if<AttemptEnded>(&input))
+            this->observer.attemptEnded(*ended);
+        this->push(std::move(input));
+    };
+    handlers.answered = [this](const AnswerCaller& answer, const QueueId& queue, Microseconds latency) {
+        this->observer.answered(answer, queue, latency);
+    };
+    handlers.refused = [this](CallerRefusal refusal) { this->observer.refused(refusal); };
     handlers.isHealthy = [this] { return !this->shuttingDown && this->documents.known().record.has_value(); };
-    handlers.metricsPage = [] { return std::string(); };
+    handlers.metricsPage = [this] { return this->makeMetricsPage(); };
     return handlers;
 }
 
@@ -169,11 +181,14 @@
 void Daemon::tick()
 {
     this->tickIsDue = false;
+    this->ticks += 1;
     Instant now = BootClock::now();
     std::vector<RequestInput> inputs = std::move(this->inbox);
     this->inbox.clear();
     for (const RequestOutput& output : this->plane.tick(now, std::move(inputs)))
         this->carryOut(output);
+    this->metrics.latency("greengage_tick_seconds", "Time of one tick with its outputs.")
+        .record(BootClock::now() - now);
     if (this->shuttingDown)
         this->continueShutdown(now);
     if (!this->tickIsDue)
@@ -257,7 +272,8 @@
 AdminApi::Sources Daemon::adminSources()
 {
     return { this->documents.known(), this->rollout, [this] { return this->makeStatus(); },
-        [] { return std::string(); }, [] { return std::string("{\"rows\":[]}"); },
+        [this] { return this->makeMetricsPage(); },
+        [this] { return encodeBurnRows(this->observer.burnRows(BootClock::now())); },
         [this](const DocumentRecord& record) { this->documents.offer(record, "operator"); } };
 }
 
@@ -281,22 +297,40 @@
     return report;
 }
 
+std::string Daemon::makeMetricsPage()
+{
+    DaemonGauges gauges;
+    gauges.appliedRevision = this->documents.known().appliedRevision();
+    gauges.storeReachable = this->watcher.isReachable();
+    gauges.callerConnections = this->gateway.callerConnections();
+    gauges.meshBytesSent = this->peerExchange.bytesSent() + this->meshServer.bytesSent();
+    gauges.meshBytesReceived = this->peerExchange.bytesReceived() + this->meshServer.bytesReceived();
+    gauges.ticks = this->ticks;
+    gauges.storeCalls = this->store.callCounts();
+    gauges.publish(this->metrics);
+    this->demandGauges.publish(this->metrics, this->plane.describe(BootClock::now()).demand);
+    return this->metrics.exposition();
+}
+
 void Daemon::shutDown()
 {
     if (this->shuttingDown)
         return;
     writeLog(LogLevel::Info, LogLine("shutdown_begun").add("connections", this->gateway.callerConnections()));
     this->shuttingDown = true;
-    this->gateway.stopAccepting();
+    this->announceUntil = Deadline::after(BootClock::now(), announceTime);
+    this->gateway.beginClosing();
     this->push(ShutdownRequested {});
 }
 
 void Daemon::continueShutdown(Instant now)
 {
-    if (this->withdrawing || !this->plane.isIdle() || !this->gateway.isIdle())
+    bool isIdle = this->plane.isIdle() && this->gateway.isIdle() && this->adminServer.isIdle();
+    if (this->withdrawing || !isIdle || !this->announceUntil.hasPassed(now))
         return;
     if (this->closeConnectionsAt == Deadline()) {
         writeLog(LogLevel::Info, LogLine("shutdown_drained").add("connections", this->gateway.callerConnections()));
+        this->gateway.closeListener();
         this->closeConnectionsAt = Deadline::after(now, connectionCloseTimeout);
     }
     if (this->gateway.callerConnections() > 0 && !this->closeConnectionsAt.hasPassed(now))
--- a/modules/daemon/Daemon.h
+++ b/modules/daemon/Daemon.h
@@ -10,6 +10,8 @@
 #include <daemon/configuration/StoreWatcher.h>
 #include <daemon/membership/MemberTable.h>
 #include <daemon/membership/Registration.h>
+#include <daemon/metrics/DemandGauges.h>
+#include <daemon/metrics/RequestObserver.h>
 #include <daemon/peers/PeerExchange.h>
 #include <daemon/peers/PeerTable.h>
 #include <daemon/vms/VmListReader.h>
@@ -50,6 +52,7 @@
     StoreWatcher::Handlers watchHandlers();
     AdminApi::Sources adminSources();
     StatusReport makeStatus();
+    std::string makeMetricsPage();
 
     void push(RequestInput);
     void tick();
@@ -65,6 +68,10 @@
     DaemonSettings settings;
     std::function<void()> stopped;
     PeerState self;
+    MetricsRegistry metrics;
+    RequestObserver observer { this->metrics };
+    DemandGauges demandGauges;
+    std::uint64_t ticks = 0;
     RequestPlane plane;
     std::vector<RequestInput> inbox;
     bool tickIsDue = false;
@@ -74,6 +81,8 @@
     PeerTable peers;
     bool shuttingDown = false;
     bool withdrawing = false;
+    /// Until then callers are still accepted and told to go elsewhere, so that the balancer can notice.
+    Deadline announceUntil;
     Deadline closeConnectionsAt;
     StoreClient store;
     DocumentKeeper documents;
--- /dev/null
+++ b/modules/daemon/metrics/RequestObserver.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <config/model/Document.h>
+#include <core/time/Instant.h>
+#include <daemon/events/RepeatedEvent.h>
+#include <gateway/callers/CallerRefusal.h>
+#include <metrics/burn/BurnTable.h>
+#include <metrics/registry/MetricsRegistry.h>
+
+#include <memory>
+#include <vector>
+
+namespace Greengage {
+
+struct AnswerCaller;
+struct AttemptEnded;
+
+/// Counts, times and logs what becomes of requests. Names that callers make up are not kept, so that they cannot make
+/// the metrics grow.
+class RequestObserver {
+public:
+    explicit RequestObserver(MetricsRegistry&);
+
+    void documentApplied(std::shared_ptr<const Document>);
+    void answered(const AnswerCaller&, const QueueId&, Microseconds latency);
+    void refused(CallerRefusal);
+    void attemptEnded(const AttemptEnded&);
+
+    std::vector<BurnRow> burnRows(Instant now) const { return this->burn.rows(now); }
+
+private:
+    const Queue* findQueue(const QueueId&) const;
+    void recordBurn(const AnswerCaller&, const Queue&, Microseconds latency, Instant now);
+
+    MetricsRegistry& registry;
+    std::shared_ptr<const Document> document;
+    BurnTable burn;
+    RepeatedEvent log;
+};
+
+} // namespace Greengage
--- a/modules/gateway/Gateway.cpp
+++ b/modules/gateway/Gateway.cpp
@@ -13,6 +13,9 @@
     , callers(base, limits, self,
           { [this](RequestArrived arrived) { this->handlers.input(std::move(arrived)); },
               [this](CallerLeft left) { this->handlers.input(std::move(left)); },
+              [this](const AnswerCaller& answer, const QueueId& queue, Microseconds latency) {
+                  this->handlers.answered(answer, queue, latency);
+              },
               [this](CallerRefusal refusal) { this->handlers.refused(refusal); },
               [this] { return this->handlers.isHealthy(); }, [this] { return this->handlers.metricsPage(); } })
     , endpoints(base, this->address, self)
--- a/modules/gateway/Gateway.h
+++ b/modules/gateway/Gateway.h
@@ -25,6 +25,7 @@
 public:
     struct Handlers {
         std::function<void(RequestInput)> input;
+        std::function<void(const AnswerCaller&, const QueueId&, Microseconds latency)> answered;
         std::function<void(CallerRefusal)> refused;
         std::function<bool()> isHealthy;
         std::function<std::string()> metricsPage;
@@ -34,7 +35,8 @@
     Gateway(event_base&, std::string address, const CallerLimits&, IncarnationId self, Handlers);
 
     Result<void, GatewayError> listen(std::uint16_t callersPort);
-    void stopAccepting() { this->callers.stopAccepting(); }
+    void beginClosing() { this->callers.beginClosing(); }
+    void closeListener() { this->callers.closeListener(); }
 
     void send(const SendAttempt&);
     void answer(const AnswerCaller&);
--- a/modules/gateway/admin/AdminServer.h
+++ b/modules/gateway/admin/AdminServer.h
@@ -37,6 +37,9 @@
     AdminServer(const AdminServer&) = delete;
     AdminServer& operator=(const AdminServer&) = delete;
 
+    /// Whether no operator waits for an answer.
+    bool isIdle() const { return this->open.empty(); }
+
     Result<void, GatewayError> listen(const std::string& address, std::uint16_t port);
 
 private:
--- a/modules/gateway/callers/CallerServer.cpp
+++ b/modules/gateway/callers/CallerServer.cpp
@@ -60,21 +60,21 @@
         this->server.get(),
         [](evhttp_request* request, void* server) { static_cast<CallerServer*>(server)->handleRequest(*request); },
         this);
-    evhttp_bound_socket* socket = evhttp_bind_socket_with_handle(this->server.get(), address.c_str(), port);
-    if (!socket)
+    this->socket = evhttp_bind_socket_with_handle(this->server.get(), address.c_str(), port);
+    if (!this->socket)
         return failure(
             GatewayError { "cannot listen on " + address + ":" + std::to_string(port) + ": " + std::strerror(errno) });
-    this->limiter.attach(*this->server, *socket);
-    this->isAccepting = true;
+    this->limiter.attach(*this->server, *this->socket);
     return success();
 }
 
-void CallerServer::stopAccepting()
+void CallerServer::closeListener()
 {
-    if (!this->isAccepting)
+    if (!this->socket)
         return;
-    this->isAccepting = false;
-    this->limiter.stopAccepting();
+    this->limiter.detach();
+    evhttp_del_accept_socket(this->server.get(), this->socket);
+    this->socket = nullptr;
 }
 
 PendingCall* CallerServer::find(const RequestId& request)
@@ -126,7 +126,8 @@
     arrived.request = RequestId(this->self.string() + "-" + std::to_string(this->nextRequest++));
     arrived.queue = QueueId(queue);
     this->heldBodyBytes += arrived.bodyBytes;
-    this->calls.emplace(arrived.request, PendingCall { &request, arrived.queue, takeBytes(body), {} });
+    this->calls.emplace(
+        arrived.request, PendingCall { &request, arrived.queue, BootClock::now(), takeBytes(body), {} });
     evhttp_connection* connection = evhttp_request_get_connection(&request);
     this->callOfConnection[connection] = arrived.request;
     this->watchForClose(connection);
@@ -177,6 +178,7 @@
         response = toAnsweredResponse(answer, endpointAnswer->second);
     else
         response = toUnansweredResponse(answer);
+    this->handlers.answered(answer, call->queue, BootClock::now() - call->arrivedAt);
     evhttp_connection* connection = evhttp_request_get_connection(&handle);
     this->release(answer.request, connection);
     evhttp_connection_set_closecb(connection, nullptr, nullptr);
@@ -204,7 +206,7 @@
     evkeyvalq* headers = evhttp_request_get_output_headers(&request);
     for (const HttpHeader& header : response.headers)
         evhttp_add_header(headers, header.name.c_str(), header.value.c_str());
-    if (!this->isAccepting)
+    if (this->isClosing)
         evhttp_add_header(headers, "Connection", "close");
     evbuffer* body = evhttp_request_get_output_buffer(&request);
     evbuffer_add(body, response.body.data(), response.body.size());
--- a/modules/gateway/callers/CallerServer.h
+++ b/modules/gateway/callers/CallerServer.h
@@ -29,6 +29,8 @@
     struct Handlers {
         std::function<void(RequestArrived)> requestArrived;
         std::function<void(CallerLeft)> callerLeft;
+        /// A request has been answered, `latency` after it had come whole.
+        std::function<void(const AnswerCaller&, const QueueId&, Microseconds latency)> answered;
         /// A request was refused before it got an id.
         std::function<void(CallerRefusal)> refused;
         /// Whether the daemon serves, for GET /healthz.
@@ -46,8 +48,11 @@
     /// Starts to accept connections. The error says which address could not be bound and why.
     Result<void, GatewayError> listen(const std::string& address, std::uint16_t port);
 
-    /// Stops accepting; connections that are open are served on and told to close after their next answer.
-    void stopAccepting();
+    /// From now on every answer asks the caller to close its connection.
+    void beginClosing() { this->isClosing = true; }
+
+    /// Accepts no more connections; those that are open are served on.
+    void closeListener();
 
     /// The request as it was kept, or null if its caller has left or it has been answered.
     PendingCall* find(const RequestId&);
@@ -73,7 +78,8 @@
     Handlers handlers;
     ConnectionLimiter limiter;
     EventPointer<evhttp> server;
-    bool isAccepting = false;
+    evhttp_bound_socket* socket = nullptr;
+    bool isClosing = false;
     std::uint64_t nextRequest = 1;
     std::size_t heldBodyBytes = 0;
     std::unordered_map<RequestId, PendingCall> calls;
--- a/modules/gateway/callers/ConnectionLimiter.cpp
+++ b/modules/gateway/callers/ConnectionLimiter.cpp
@@ -82,18 +82,12 @@
     if (!this->socket)
         return;
     evconnlistener* listener = evhttp_bound_socket_get_listener(this->socket);
-    if (!this->isAccepting || this->connections() >= this->maxConnections)
+    if (this->connections() >= this->maxConnections)
         evconnlistener_disable(listener);
     else
         evconnlistener_enable(listener);
 }
 
-void ConnectionLimiter::stopAccepting()
-{
-    this->isAccepting = false;
-    this->limitAccepting();
-}
-
 void ConnectionLimiter::requestArrived(evhttp_connection* connection)
 {
     this->nextRequestBy[evhttp_connection_get_bufferevent(connection)] = Deadline::never();
--- a/modules/gateway/callers/ConnectionLimiter.h
+++ b/modules/gateway/callers/ConnectionLimiter.h
@@ -32,8 +32,8 @@
     /// The request is answered; the response must be taken and the next request must come within the timeout.
     void requestAnswered(evhttp_connection*);
 
-    /// Accepts no more connections from now on.
-    void stopAccepting();
+    /// Forgets the socket, which its server is about to close.
+    void detach() { this->socket = nullptr; }
 
     int connections() const { return static_cast<int>(this->nextRequestBy.size()); }
 
@@ -46,7 +46,6 @@
     int maxConnections;
     Milliseconds requestTimeout;
     evhttp_bound_socket* socket = nullptr;
-    bool isAccepting = true;
     /// Each connection's transport, of which this object holds one reference.
     std::unordered_map<bufferevent*, Deadline> nextRequestBy;
     Timer sweep;
--- a/modules/gateway/callers/PendingCall.h
+++ b/modules/gateway/callers/PendingCall.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <core/text/Identifier.h>
+#include <core/time/Instant.h>
 #include <gateway/endpoints/EndpointAnswer.h>
 
 #include <map>
@@ -14,6 +15,7 @@
 struct PendingCall {
     evhttp_request* handle = nullptr;
     QueueId queue;
+    Instant arrivedAt;
     std::string body;
     /// Whole answers of endpoints, by the number of the attempt.
     std::map<int, EndpointAnswer> answers;
--- a/modules/gateway/tests/CallerServerTests.cpp
+++ b/modules/gateway/tests/CallerServerTests.cpp
@@ -64,11 +64,13 @@
     std::vector<RequestArrived> arrived;
     std::vector<CallerLeft> left;
     std::vector<CallerRefusal> refused;
+    int answered = 0;
     CallerLimits limits { 2, 2048, 1000, 1500, Milliseconds(300) };
     std::uint16_t port = static_cast<std::uint16_t>(basePort + getpid() % portRange);
     CallerServer server { loop.base(), limits, IncarnationId("i1"),
         { [this](RequestArrived request) { this->arrived.push_back(std::move(request)); },
             [this](CallerLeft gone) { this->left.push_back(std::move(gone)); },
+            [this](const AnswerCaller&, const QueueId&, Microseconds) { this->answered += 1; },
             [this](CallerRefusal refusal) { this->refused.push_back(refusal); }, [] { return true; },
             [] { return std::string("metrics page"); } } };
 
@@ -125,6 +127,7 @@
     BOOST_TEST(caller.received.find("HTTP/1.1 201") == 0U);
     BOOST_TEST(caller.received.find("Greengage-Outcome: answered") != std::string::npos);
     BOOST_TEST(this->server.pendingCalls() == 0U);
+    BOOST_TEST(this->answered == 1);
 }
 
 BOOST_AUTO_TEST_CASE(outcomesAreToldApartByStatusAndHeader)
--- /dev/null
+++ b/modules/platform/store/StoreCallCount.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+namespace Greengage {
+
+/// How many calls of one kind, such as "write" or "lease/renew", a client has made.
+struct StoreCallCount {
+    std::string kind;
+    std::uint64_t count = 0;
+};
+
+} // namespace Greengage
--- a/modules/platform/store/StoreClient.cpp
+++ b/modules/platform/store/StoreClient.cpp
@@ -2,18 +2,21 @@
 
 #include <platform/http/HttpClient.h>
 #include <platform/store/StoreAnswers.h>
+#include <platform/store/StoreCallCount.h>
 #include <platform/store/StoreEntry.h>
 #include <platform/store/StoreWrite.h>
 #include <platform/store/WatchResult.h>
 #include <platform/vms/VmRecord.h>
 
 #include <json/json.h>
+#include <map>
 
 namespace Greengage {
 
 namespace {
 
 constexpr Milliseconds callTimeout { 2000 };
+constexpr std::string_view callPrefix = "/v1/";
 
 std::string toText(const Json::Value& json)
 {
@@ -39,8 +42,9 @@
     {
     }
 
-    HttpCall call(std::string path, std::string body, Milliseconds timeout = callTimeout) const
+    HttpCall call(std::string path, std::string body, Milliseconds timeout = callTimeout)
     {
+        this->callsOfPath[path] += 1;
         HttpCall made;
         made.address = this->address;
         made.port = this->port;
@@ -73,6 +77,8 @@
         this->send<Value>(this->call(std::move(path), toText(json)), convert, std::move(callback));
     }
 
+    std::map<std::string, std::uint64_t> callsOfPath;
+
 private:
     std::string address;
     std::uint16_t port;
@@ -158,4 +164,12 @@
     this->implementation->send<std::vector<VmRecord>>(call, StoreAnswers::toVms, std::move(callback));
 }
 
+std::vector<StoreCallCount> StoreClient::callCounts() const
+{
+    std::vector<StoreCallCount> counts;
+    for (const auto& [path, count] : this->implementation->callsOfPath)
+        counts.push_back({ path.substr(callPrefix.size()), count });
+    return counts;
+}
+
 } // namespace Greengage
--- a/modules/platform/store/StoreClient.h
+++ b/modules/platform/store/StoreClient.h
@@ -14,6 +14,7 @@
 
 namespace Greengage {
 
+struct StoreCallCount;
 struct StoreEntry;
 struct StoreWrite;
 struct VmRecord;
@@ -51,6 +52,9 @@
     /// Calls back with the platform's list of VMs, which lags behind the VMs themselves.
     void readVms(Callback<std::vector<VmRecord>>);
 
+    /// How many calls of each kind have been made.
+    std::vector<StoreCallCount> callCounts() const;
+
 private:
     class Implementation;
     std::unique_ptr<Implementation> implementation;
--- a/tests/daemon/WholePathTests.cpp
+++ b/tests/daemon/WholePathTests.cpp
@@ -2,6 +2,7 @@
 
 #include <daemon/FleetFixture.h>
 
+#include <atomic>
 #include <chrono>
 #include <csignal>
 #include <thread>
@@ -105,6 +106,62 @@
         [this] { return this->daemon(2).output().find("event=member_left daemon=d1") != std::string::npos; });
 }
 
+BOOST_AUTO_TEST_CASE(replacingEveryDaemonUnderLoadLosesAndCutsAndDoublesNothing)
+{
+    std::atomic<bool> done = false;
+    int answered = 0;
+    int cut = 0;
+    int elsewhere = 0;
+    std::vector<std::string> names;
+    std::thread caller([&] {
+        for (int turn = 0; !done; ++turn) {
+            std::string name = "roll" + std::to_string(turn);
+            HttpTalkReply reply;
+            // As the balancer does, a request that was not run goes to the other daemon.
+            for (int number = 1 + turn % 2; reply.status != 200 && !done; number = 3 - number) {
+                reply = this->call(number, "orders", { this->bearer }, "call=" + name + " run_ms=30 answer_bytes=64\n");
+                cut += reply.connected && reply.status == 0 ? 1 : 0;
+                elsewhere += reply.status != 200 ? 1 : 0;
+            }
+            if (reply.status == 200) {
+                answered += 1;
+                names.push_back(name);
+            }
+        }
+    });
+    for (int number : { 1, 2 }) {
+        this->daemon(number).signal(SIGTERM);
+        BOOST_TEST((this->daemon(number).awaitExit() == 0));
+        this->startDaemon(number);
+        this->awaitAnswer(number);
+    }
+    done = true;
+    caller.join();
+    BOOST_TEST(cut == 0);
+    BOOST_TEST(elsewhere > 0);
+    BOOST_TEST(answered > 0);
+    for (const std::string& name : names)
+        BOOST_TEST(this->startsOf(name) == 1, name);
+}
+
+BOOST_AUTO_TEST_CASE(metricsAndBurnRowsTellWhatHappened)
+{
+    this->call(1, "orders", { this->bearer }, work);
+    this->call(1, "orders", {}, work);
+    this->call(1, "made-up-name", {}, work);
+    HttpTalkReply page = talkHttp(this->daemonAddress(1), this->callersPort(), "GET", "/metrics");
+    BOOST_TEST(page.status == 200);
+    for (const char* line :
+        { R"(greengage_requests_total{queue="orders",team="booking",outcome="answered",reason="none"} 1)",
+            R"(greengage_requests_total{queue="orders",team="",outcome="not_run",reason="key_missing"} 1)",
+            R"(greengage_store_calls_total{kind="watch"})", R"(greengage_mesh_bytes_total{direction="sent"})",
+            "process_resident_memory_bytes" })
+        BOOST_TEST(page.body.find(line) != std::string::npos, line);
+    BOOST_TEST(page.body.find("made-up-name") == std::string::npos);
+    HttpTalkReply burn = this->admin(1, "/v1/burn");
+    BOOST_TEST(burn.body.find("\"team\":\"booking\"") != std::string::npos, burn.body);
+}
+
 BOOST_AUTO_TEST_CASE(daemonStartedInAnOutageServesWithAPeersDocument)
 {
     Json::Value outage(Json::objectValue);
--- a/tests/support/HttpTalk.cpp
+++ b/tests/support/HttpTalk.cpp
@@ -47,6 +47,7 @@
     int socket = connectTo(address, port);
     if (socket < 0)
         return reply;
+    reply.connected = true;
     std::string request = method + " " + path + " HTTP/1.1\r\nHost: test\r\n";
     for (const auto& header : headers)
         request += header + "\r\n";
--- a/tests/support/HttpTalk.h
+++ b/tests/support/HttpTalk.h
@@ -8,6 +8,8 @@
 
 /// An HTTP response as a test sees it.
 struct HttpTalkReply {
+    /// Whether a connection was made; if not, nothing was sent.
+    bool connected = false;
     /// 0 if no whole response came.
     int status = 0;
     std::string head;
