Claim what may run once, and bound the retries of the rest

A non-idempotent request with an idempotency key went out without anything to stop a second submission of it. It is now claimed in the store once a slot and a unit are found for it and before its first byte; a claim held by another submission, refused or unsettled gives a true "not run". After a loss it is never sent again. A claim that was won and not used stays with the daemon for the next submission under the key, so that a request which was not run is not shut out by itself. Keys are checked again when a claim comes back and before every retry.

Retries of what was sent take from a budget of a tenth of the first sends for each service. Idempotent work gives its first attempt three fifths of the time left, so that a silent connection leaves time for a second endpoint. An endpoint that fails three attempts in a row is set aside for 1 s, doubling, and probed with one request; if all are set aside the least failed is tried.

Ruled out: claiming on admission (a request that is then refused for want of room would hold its key for the retention), and counting every silent attempt as a sign of a dead endpoint (long runs on an endpoint that answers others would set it aside).

--- a/modules/fleet/requests/RequestPlane.cpp
+++ b/modules/fleet/requests/RequestPlane.cpp
@@ -2,6 +2,7 @@
 
 #include <fleet/requests/admission/Admission.h>
 #include <fleet/requests/attempts/Attempts.h>
+#include <fleet/requests/claims/Claims.h>
 #include <fleet/requests/dispatch/Dispatch.h>
 #include <fleet/requests/dispatch/EndpointTable.h>
 #include <fleet/requests/dispatch/Expiry.h>
@@ -58,7 +59,7 @@
     }
 
     static void take(Tick& tick, const StoreConfirmed& message) { FreshnessFence(tick).take(message); }
-    static void take(Tick&, const ClaimSettled&) { }
+    static void take(Tick& tick, const ClaimSettled& message) { Claims(tick).take(message); }
     static void take(Tick& tick, const AllotmentsRead& message) { LimitEscrow(tick).take(message); }
     static void take(Tick& tick, const AllotmentsWriteFailed& message) { LimitEscrow(tick).take(message); }
     static void take(Tick& tick, const PeerHeard& message) { FreshnessFence(tick).take(message); }
--- a/modules/fleet/requests/admission/Admission.cpp
+++ b/modules/fleet/requests/admission/Admission.cpp
@@ -109,10 +109,15 @@
     auto& requests = this->tick.tables.requests;
     for (auto next = requests.begin(); next != requests.end();) {
         auto& row = (next++)->second;
-        auto reason = row.stage == RequestStage::Waiting ? this->recheck(row) : OutcomeReason::None;
-        if (reason != OutcomeReason::None)
-            RequestLifecycle(this->tick).refuse(row, reason);
+        if (row.stage == RequestStage::Waiting)
+            this->recheckWaiting(row);
     }
 }
 
+void Admission::recheckWaiting(RequestRow& row)
+{
+    if (auto reason = this->recheck(row); reason != OutcomeReason::None)
+        RequestLifecycle(this->tick).refuse(row, reason);
+}
+
 } // namespace Greengage
--- a/modules/fleet/requests/admission/Admission.h
+++ b/modules/fleet/requests/admission/Admission.h
@@ -20,6 +20,8 @@
     void admit(const RequestArrived&);
     /// Ends waiting requests whose queue, team or key a new document has taken away.
     void recheckWaiting();
+    /// The same for one waiting request. The row is invalid afterwards if it ends.
+    void recheckWaiting(RequestRow&);
 
 private:
     /// Fills in team and key, or gives the reason for refusing.
--- a/modules/fleet/requests/attempts/Attempts.cpp
+++ b/modules/fleet/requests/attempts/Attempts.cpp
@@ -1,6 +1,8 @@
 #include <fleet/requests/attempts/Attempts.h>
 
 #include <algorithm>
+#include <fleet/requests/admission/Admission.h>
+#include <fleet/requests/attempts/EndpointHealth.h>
 #include <fleet/requests/dispatch/EndpointSelection.h>
 #include <fleet/requests/messages/RunningReported.h>
 #include <fleet/requests/tables/RequestLifecycle.h>
@@ -32,6 +34,9 @@
     auto& row = found->second;
     if (row.stage != RequestStage::Sent || row.attempts != ended.attempt)
         return;
+    this->recordHealth(row, ended.result);
+    if (ended.result != AttemptResult::Refused)
+        row.tried.insert(row.endpoint);
     RequestLifecycle lifecycle(this->tick);
     switch (ended.result) {
     case AttemptResult::Answered:
@@ -40,9 +45,12 @@
         lifecycle.finish(row, Outcome::Answered, OutcomeReason::None);
         return;
     case AttemptResult::NotSent:
+        lifecycle.release(row);
+        this->retry(row, OutcomeReason::EndpointsRefused);
+        return;
     case AttemptResult::Refused:
         lifecycle.release(row);
-        this->retryUnsent(row, OutcomeReason::EndpointsRefused);
+        this->retryWithinBudget(row, OutcomeReason::EndpointsRefused);
         return;
     case AttemptResult::Broken:
         this->afterLoss(row, OutcomeReason::ConnectionBroken);
@@ -54,13 +62,45 @@
     }
 }
 
-void Attempts::retryUnsent(RequestRow& row, OutcomeReason reason)
+void Attempts::recordHealth(const RequestRow& row, AttemptResult result)
+{
+    auto found = this->tick.tables.endpoints.find(row.endpoint);
+    if (found == this->tick.tables.endpoints.end())
+        return;
+    EndpointHealth health(found->second, this->tick.now);
+    bool ranLong = result == AttemptResult::Silent && found->second.answeredAt >= row.sentAt;
+    if (result == AttemptResult::Answered)
+        health.recordAnswer();
+    else if (result == AttemptResult::Refused)
+        health.recordRefusal();
+    else if (!ranLong)
+        health.recordFailure();
+}
+
+void Attempts::retryWithinBudget(RequestRow& row, OutcomeReason reason)
+{
+    bool worthwhile = this->mayRetry(row);
+    if (worthwhile && this->tick.tables.retryBudgets[row.service].takeExtraSend())
+        return this->retry(row, reason);
+    RequestLifecycle lifecycle(this->tick);
+    lifecycle.requeue(row);
+    lifecycle.refuse(row, worthwhile && !row.mayHaveRun ? OutcomeReason::RetryBudgetSpent : reason);
+}
+
+bool Attempts::mayRetry(const RequestRow& row) const
+{
+    return row.attempts < maxAttempts && !row.callerLeft && !row.deadline.hasPassed(this->tick.now)
+        && EndpointSelection(this->tick).countCandidates(row) > 0;
+}
+
+void Attempts::retry(RequestRow& row, OutcomeReason reason)
 {
     RequestLifecycle lifecycle(this->tick);
-    row.tried.insert(row.endpoint);
+    bool again = this->mayRetry(row);
     lifecycle.requeue(row);
-    bool mayRetry = row.attempts < maxAttempts && !row.callerLeft && !row.deadline.hasPassed(this->tick.now);
-    if (!mayRetry || !EndpointSelection(this->tick).hasCandidate(row))
+    if (again)
+        Admission(this->tick).recheckWaiting(row);
+    else
         lifecycle.refuse(row, reason);
 }
 
@@ -69,7 +109,7 @@
     RequestLifecycle lifecycle(this->tick);
     lifecycle.holdAsUnknown(row);
     if (row.idempotent)
-        return this->retryUnsent(row, reason);
+        return this->retryWithinBudget(row, reason);
     lifecycle.finish(row, Outcome::Unknown, reason);
 }
 
--- a/modules/fleet/requests/attempts/Attempts.h
+++ b/modules/fleet/requests/attempts/Attempts.h
@@ -20,7 +20,12 @@
     void settleUnknown();
 
 private:
-    void retryUnsent(RequestRow&, OutcomeReason);
+    void recordHealth(const RequestRow&, AttemptResult);
+    bool mayRetry(const RequestRow&) const;
+    /// Queues the request again, or ends it for the reason given.
+    void retry(RequestRow&, OutcomeReason);
+    /// The same, for a request whose bytes have been sent: the next send costs a part of the retry budget.
+    void retryWithinBudget(RequestRow&, OutcomeReason);
     void afterLoss(RequestRow&, OutcomeReason);
 
     Tick& tick;
--- /dev/null
+++ b/modules/fleet/requests/attempts/RetryBudget.cpp
@@ -0,0 +1,17 @@
+#include <fleet/requests/attempts/RetryBudget.h>
+
+#include <algorithm>
+
+namespace Greengage {
+
+void RetryBudget::addFirstSend() { this->units = std::min(this->units + 1, maxUnits); }
+
+bool RetryBudget::takeExtraSend()
+{
+    if (this->units < unitsPerSend)
+        return false;
+    this->units -= unitsPerSend;
+    return true;
+}
+
+} // namespace Greengage
--- /dev/null
+++ b/modules/fleet/requests/attempts/RetryBudget.h
@@ -0,0 +1,20 @@
+#pragma once
+
+namespace Greengage {
+
+/// Bounds the sends beyond the first of each request to a tenth of the first sends, with a small allowance for the
+/// start, so that retries cannot multiply an overload.
+class RetryBudget {
+public:
+    void addFirstSend();
+    /// Takes one extra send out of the budget; false if it is spent.
+    bool takeExtraSend();
+
+private:
+    static constexpr int unitsPerSend = 10;
+    static constexpr int maxUnits = 10 * unitsPerSend;
+
+    int units = maxUnits;
+};
+
+} // namespace Greengage
--- a/modules/fleet/requests/dispatch/Dispatch.cpp
+++ b/modules/fleet/requests/dispatch/Dispatch.cpp
@@ -1,6 +1,7 @@
 #include <fleet/requests/dispatch/Dispatch.h>
 
 #include <algorithm>
+#include <fleet/requests/claims/Claims.h>
 #include <fleet/requests/dispatch/EndpointSelection.h>
 #include <fleet/requests/freshness/FreshnessFence.h>
 #include <fleet/requests/limits/LimitEscrow.h>
@@ -13,6 +14,10 @@
 
 /// Longest time between the decision to send and the first byte, so that a newer decision is not overtaken for long.
 constexpr Milliseconds sendWindow { 1000 };
+/// How long the first attempt of idempotent work may take, so that a silent connection leaves time for a second: a part
+/// of the time left in percent, but at least so many times the median run time.
+constexpr int firstAttemptPercent = 60;
+constexpr int firstAttemptMedians = 4;
 
 } // namespace
 
@@ -44,8 +49,10 @@
 
 bool Dispatch::comesTooLate(const RequestRow& row) const
 {
+    if (row.deadline.hasPassed(this->tick.now))
+        return true;
     auto estimate = this->tick.tables.runTimes.find(row.queue);
-    if (estimate == this->tick.tables.runTimes.end())
+    if (row.attempts > 0 || estimate == this->tick.tables.runTimes.end())
         return false;
     auto median = estimate->second.median();
     return row.deadline.remaining(this->tick.now) < median && row.deadline.remaining(row.arrivedAt) >= median;
@@ -105,11 +112,17 @@
 {
     line.order.pop_front();
     RequestLifecycle(this->tick).start(row, endpoint.id);
-    this->send(row, endpoint);
+    Claims claims(this->tick);
+    if (claims.isNeeded(row))
+        claims.request(row);
+    else
+        this->send(row, endpoint);
 }
 
 void Dispatch::send(RequestRow& row, const EndpointRow& endpoint)
 {
+    if (row.attempts == 0)
+        this->tick.tables.retryBudgets[row.service].addFirstSend();
     row.attempts += 1;
     row.sentAt = this->tick.now;
     SendAttempt attempt;
@@ -122,9 +135,21 @@
     attempt.notAfter = std::min(row.deadline, Deadline::after(this->tick.now, sendWindow));
     if (!row.key.isEmpty())
         attempt.notAfter = std::min(attempt.notAfter, Deadline(this->keyedWorkEnd));
-    attempt.answerBy = row.deadline;
-    attempt.freshConnection = !row.idempotent;
+    attempt.answerBy = this->answerBy(row);
+    attempt.freshConnection = !row.idempotent || row.attempts > 1 || endpoint.consecutiveFailures > 0;
     this->tick.outbox.emplace_back(attempt);
 }
 
+Deadline Dispatch::answerBy(const RequestRow& row) const
+{
+    bool mayRetry = row.idempotent && row.attempts == 1 && EndpointSelection(this->tick).countCandidates(row) > 1;
+    if (!mayRetry)
+        return row.deadline;
+    auto left = row.deadline.remaining(this->tick.now);
+    auto estimate = this->tick.tables.runTimes.find(row.queue);
+    auto median = estimate == this->tick.tables.runTimes.end() ? Microseconds::zero() : estimate->second.median();
+    auto patience = std::max(left * firstAttemptPercent / 100, median * firstAttemptMedians);
+    return std::min(row.deadline, Deadline::after(this->tick.now, patience));
+}
+
 } // namespace Greengage
--- a/modules/fleet/requests/dispatch/Dispatch.h
+++ b/modules/fleet/requests/dispatch/Dispatch.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <core/time/Instant.h>
+#include <core/time/Deadline.h>
 #include <fleet/requests/tables/Tick.h>
 
 #include <set>
@@ -34,6 +34,8 @@
     double loadOf(const WorkLineKey&) const;
     void begin(WorkLine&, RequestRow&, EndpointRow&);
     void send(RequestRow&, const EndpointRow&);
+    /// When the attempt that is being sent counts as silent.
+    Deadline answerBy(const RequestRow&) const;
 
     Tick& tick;
     /// Instant from which keyed work must not be started.
--- a/modules/fleet/requests/dispatch/EndpointSelection.cpp
+++ b/modules/fleet/requests/dispatch/EndpointSelection.cpp
@@ -1,5 +1,7 @@
 #include <fleet/requests/dispatch/EndpointSelection.h>
 
+#include <algorithm>
+#include <fleet/requests/attempts/EndpointHealth.h>
 #include <fleet/requests/tables/RequestTables.h>
 
 namespace Greengage {
@@ -33,22 +35,37 @@
 EndpointRow* EndpointSelection::choose(const RequestRow& row) const
 {
     EndpointRow* best = nullptr;
+    bool anyHealthy = false;
     for (auto& [id, endpoint] : this->tick.tables.endpoints) {
-        if (!this->isCandidate(endpoint, row) || endpoint.running >= slotsPerEndpoint)
+        if (!this->isCandidate(endpoint, row))
+            continue;
+        EndpointHealth health(endpoint, this->tick.now);
+        anyHealthy = anyHealthy || health.isHealthy();
+        if (endpoint.running >= slotsPerEndpoint || !health.mayBeTried())
             continue;
         if (!best || this->isBetter(endpoint, *best))
             best = &endpoint;
     }
-    return best;
+    return best || anyHealthy ? best : this->leastFailed(row);
 }
 
-bool EndpointSelection::hasCandidate(const RequestRow& row) const
+EndpointRow* EndpointSelection::leastFailed(const RequestRow& row) const
 {
-    for (const auto& [id, endpoint] : this->tick.tables.endpoints) {
-        if (this->isCandidate(endpoint, row))
-            return true;
+    EndpointRow* best = nullptr;
+    for (auto& [id, endpoint] : this->tick.tables.endpoints) {
+        if (!this->isCandidate(endpoint, row) || endpoint.running >= slotsPerEndpoint)
+            continue;
+        if (!best || endpoint.consecutiveFailures < best->consecutiveFailures)
+            best = &endpoint;
     }
-    return false;
+    return best;
+}
+
+int EndpointSelection::countCandidates(const RequestRow& row) const
+{
+    const auto& endpoints = this->tick.tables.endpoints;
+    return static_cast<int>(std::count_if(
+        endpoints.begin(), endpoints.end(), [&](const auto& entry) { return this->isCandidate(entry.second, row); }));
 }
 
 } // namespace Greengage
--- a/modules/fleet/requests/tables/EndpointRow.h
+++ b/modules/fleet/requests/tables/EndpointRow.h
@@ -26,8 +26,12 @@
     int running = 0;
     /// Failures since the last answer.
     int consecutiveFailures = 0;
+    /// When it last answered.
+    Instant answeredAt = Instant::min();
     /// Until then an endpoint that keeps failing gets no work.
     Deadline setAsideUntil;
+    /// Until then an endpoint that has refused for want of a slot gets no work.
+    Deadline pausedUntil;
     /// When it may next be asked what it runs.
     Deadline askAgainAt;
 };
--- a/modules/fleet/requests/tables/RequestLifecycle.cpp
+++ b/modules/fleet/requests/tables/RequestLifecycle.cpp
@@ -2,6 +2,7 @@
 
 #include <core/checks/Assertion.h>
 #include <fleet/requests/admission/RetryAdvice.h>
+#include <fleet/requests/claims/Claims.h>
 #include <fleet/requests/tables/RequestTables.h>
 
 namespace Greengage {
@@ -44,6 +45,7 @@
 {
     row.stage = RequestStage::Waiting;
     row.endpoint = VmId();
+    this->tick.tables.deadlines.emplace(row.deadline.at(), row.id);
     WorkLineKey key { row.queue, row.team };
     this->tick.tables.lines[key].order.push_front(row.id);
     this->count(key, 1, 0);
@@ -92,6 +94,8 @@
         this->count(WorkLineKey { row.queue, row.team }, -1, 0);
     if (!row.callerLeft)
         this->tick.outbox.push_back(AnswerCaller { row.id, outcome, reason, row.attempts, retryAfter, row.team });
+    if (outcome == Outcome::NotRun)
+        Claims(this->tick).keepUnused(row);
     this->tick.tables.requests.erase(RequestId(row.id));
 }
 
--- a/modules/fleet/requests/tables/RequestTables.h
+++ b/modules/fleet/requests/tables/RequestTables.h
@@ -4,6 +4,7 @@
 #include <config/model/Document.h>
 #include <core/time/Instant.h>
 #include <fleet/peers/PeerState.h>
+#include <fleet/requests/attempts/RetryBudget.h>
 #include <fleet/requests/limits/EscrowState.h>
 #include <fleet/requests/tables/EndpointRow.h>
 #include <fleet/requests/tables/PeerRow.h>
@@ -17,6 +18,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <string>
 #include <vector>
 
 namespace Greengage {
@@ -53,6 +55,9 @@
     /// Revision of the maintenance ledger that the draining endpoints were taken from.
     std::uint64_t ledgerRevision = 0;
     std::vector<UnknownWork> unknownWork;
+    std::map<ServiceId, RetryBudget> retryBudgets;
+    /// Claims that this daemon has won and not used, by their key in the store, until they are forgotten.
+    std::map<std::string, Deadline> unusedClaims;
     EscrowState escrow;
     bool shuttingDown = false;
     /// Whether a shutdown has nothing left to finish or hand back.
