Measure what each part of a daemon costs at five sizes

Cause: docs/CAPACITY.md needs slopes that were measured, not guessed, for state, bytes and processor time. Change: measure-capacity builds fleets from today's site to the size expected in two years and measures the document, the VM list, the peers' states, the allotment book and both planes; least processor time of five rounds, heap by mallinfo2, a straight line through the five sizes with its largest distance.

--- /dev/null
+++ b/tests/measure/capacity/SyntheticFleet.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <config/model/DocumentRecord.h>
+#include <fleet/peers/PeerState.h>
+#include <measure/capacity/FleetSize.h>
+#include <platform/vms/VmRecord.h>
+
+#include <string>
+#include <vector>
+
+namespace Greengage {
+
+/// Makes the inputs that a daemon gets in a fleet of a given size.
+class SyntheticFleet {
+public:
+    explicit SyntheticFleet(FleetSize);
+
+    /// The operators' document, with one queue for each service and one key for each team.
+    std::string documentText() const;
+    DocumentRecord documentRecord() const;
+    std::vector<VmRecord> vms() const;
+    /// The platform's answer that lists the VMs.
+    std::string vmListJson() const;
+    /// What daemon `index` tells its peers while every team runs work on one queue.
+    PeerState peerState(int index) const;
+    static IncarnationId incarnation(int index);
+
+private:
+    std::string poolSections() const;
+    std::string teamSections() const;
+
+    FleetSize size;
+};
+
+} // namespace Greengage
--- /dev/null
+++ b/tests/measure/capacity/main.cpp
@@ -0,0 +1,54 @@
+#include <measure/capacity/CapacityProbe.h>
+#include <measure/capacity/LinearFit.h>
+
+#include <cstdio>
+#include <spdlog/fmt/fmt.h>
+#include <vector>
+
+using namespace Greengage;
+
+namespace {
+
+/// Today's site, parts of the size expected in two years, and that size.
+const std::vector<FleetSize> sizes {
+    { "today", 5, 5, 50, 50, 6, 7, 4 },
+    { "1/8", 13, 13, 60, 262, 25, 7, 4 },
+    { "1/4", 26, 26, 125, 525, 50, 7, 5 },
+    { "1/2", 52, 52, 250, 1050, 100, 14, 7 },
+    { "two years", 104, 104, 500, 2100, 200, 21, 10 },
+};
+
+void printTable(const std::vector<std::vector<Reading>>& bySize)
+{
+    std::string header = "| part | unit | grows with |";
+    std::string rule = "| --- | --- | --- |";
+    for (const auto& size : sizes) {
+        header += " " + size.label + " |";
+        rule += " ---: |";
+    }
+    fmt::print("{} slope | spread of fit |\n{} ---: | ---: |\n", header, rule);
+    for (std::size_t part = 0; part < bySize.front().size(); ++part) {
+        const auto& first = bySize.front()[part];
+        std::string line = fmt::format("| {} | {} | {} |", first.part, first.unit, first.driver);
+        std::vector<double> amounts;
+        std::vector<double> costs;
+        for (const auto& readings : bySize) {
+            amounts.push_back(readings[part].driverAmount);
+            costs.push_back(readings[part].cost);
+            line += fmt::format(" {:.0f} |", readings[part].cost);
+        }
+        auto fit = LinearFit::through(amounts, costs);
+        fmt::print("{} {:.3g} | {:.0f}% |\n", line, fit.slope, fit.spreadPercent);
+    }
+}
+
+} // namespace
+
+int main()
+{
+    std::vector<std::vector<Reading>> bySize;
+    for (const auto& size : sizes)
+        bySize.push_back(CapacityProbe(size).measure());
+    printTable(bySize);
+    return 0;
+}
