--- a/modules/fleet/fleet.h
+++ b/modules/fleet/fleet.h
@@ -5,6 +5,7 @@
 
 #include <fleet/maintenance/MaintenancePlane.h>
 #include <fleet/maintenance/ledger/MaintenanceLedger.h>
+#include <fleet/maintenance/plan/WavePlan.h>
 #include <fleet/peers/PeerState.h>
 #include <fleet/requests/RequestInput.h>
 #include <fleet/requests/RequestOutput.h>
