Place jobs on workers by learnt sizes, shares and urgency

Cause: declared sizes and run times are far off, some jobs never run, some workers fail all they start, leases lapse while work runs on, and urgent work has to start within 4.2 s on a full site. Ruled out: treating a lapsed lease as the end of its attempt, since work outlives it: a lapsed attempt keeps its reservation and counts against the team's upper limit until its worker has answered or has booted again; only a job that may be repeated is begun elsewhere meanwhile. Ruled out: stopping non-repeatable work to ask about it; AskAttempt asks. Conclusion: decisions stand; the plane's state is not yet rebuilt from workers' reports after a change of driver.

--- a/modules/fleet/fleet.h
+++ b/modules/fleet/fleet.h
@@ -7,6 +7,7 @@
 #include <fleet/maintenance/ledger/MaintenanceLedger.h>
 #include <fleet/maintenance/plan/WavePlan.h>
 #include <fleet/peers/PeerState.h>
+#include <fleet/placement/PlacementPlane.h>
 #include <fleet/requests/RequestInput.h>
 #include <fleet/requests/RequestOutput.h>
 #include <fleet/requests/RequestPlane.h>
--- /dev/null
+++ b/modules/fleet/placement/messages/AskAttempt.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <core/text/Identifier.h>
+
+#include <cstdint>
+
+namespace Greengage {
+
+/// Ask a worker about an attempt whose lease has lapsed. It reports Running if it runs, repeats its last report if it
+/// has ended, answers FailedToStart if it never got it (and never starts it), and Stopped if it was of an earlier boot.
+struct AskAttempt {
+    std::uint64_t attempt = 0;
+    WorkerId worker;
+    std::uint64_t workerBoot = 0;
+};
+
+} // namespace Greengage
--- /dev/null
+++ b/modules/fleet/placement/messages/JobSubmitted.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include <fleet/placement/model/Job.h>
+
+namespace Greengage {
+
+/// A team has submitted a job. Submitting the id of a job that waits or runs has no effect.
+struct JobSubmitted {
+    Job job;
+};
+
+} // namespace Greengage
--- /dev/null
+++ b/modules/fleet/placement/messages/JobsCancelled.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <core/text/Identifier.h>
+
+#include <vector>
+
+namespace Greengage {
+
+/// Jobs are no longer wanted. Those that run are stopped gracefully.
+struct JobsCancelled {
+    std::vector<JobId> jobs;
+};
+
+} // namespace Greengage
--- /dev/null
+++ b/modules/fleet/placement/systems/JobPlacer.cpp
@@ -0,0 +1,42 @@
+#include <fleet/placement/systems/JobPlacer.h>
+#include <fleet/placement/systems/PlacementTables.h>
+
+#include <algorithm>
+
+namespace Greengage {
+
+bool JobPlacer::mayBegin(const TeamEntry& team, const Resources& size) const
+{
+    if (team.sent >= team.team.limit || team.live.size() >= static_cast<std::size_t>(team.team.limit))
+        return false;
+    if (this->tables.profile.borrows)
+        return true;
+    return this->tables.teams.usageWith(team, size) <= this->tables.teams.shareOf(team);
+}
+
+bool JobPlacer::accepts(const WorkerEntry& worker, const JobEntry& entry)
+{
+    if (worker.health == WorkerHealth::Probing && !entry.job.idempotent)
+        return false;
+    return entry.failedWorkers.count(worker.record.id) == 0;
+}
+
+bool JobPlacer::place(JobEntry& entry)
+{
+    const auto size = this->tables.sizeOf(entry);
+    auto failedBefore = [&](const Resources& failed) { return failed.fitsWithin(size); };
+    const bool isPlain = entry.failedWorkers.empty() && entry.job.idempotent;
+    if (std::any_of(this->unplaceable.begin(), this->unplaceable.end(), failedBefore))
+        return false;
+    auto* worker = this->tables.workers.findFit(size, this->tables.profile.packsTightly,
+        [&](const WorkerEntry& candidate) { return accepts(candidate, entry); });
+    if (!worker) {
+        if (isPlain && this->unplaceable.size() < 8)
+            this->unplaceable.push_back(size);
+        return false;
+    }
+    this->tables.begin(entry, worker->record.id, size, false);
+    return true;
+}
+
+} // namespace Greengage
--- /dev/null
+++ b/modules/fleet/placement/systems/PlaceSystem.cpp
@@ -0,0 +1,144 @@
+#include <fleet/placement/systems/JobPlacer.h>
+#include <fleet/placement/systems/PlaceSystem.h>
+#include <fleet/placement/systems/PlacementTables.h>
+
+#include <algorithm>
+#include <queue>
+#include <sstream>
+
+namespace Greengage {
+
+namespace {
+
+/// How many of a team's jobs are tried in one tick when the first does not fit.
+constexpr int maxTriesPerTeam = 4;
+
+std::string describeMisfit(const Resources& size, const Resources& largest)
+{
+    std::ostringstream text;
+    if (size.processors > largest.processors)
+        text << "needs " << size.processors << " processors, the largest worker has " << largest.processors;
+    else if (size.memoryGigabytes > largest.memoryGigabytes)
+        text << "needs " << size.memoryGigabytes << " GB of memory, the largest worker has " << largest.memoryGigabytes;
+    else
+        text << "needs " << size.accelerators << " accelerators, the largest worker has " << largest.accelerators;
+    return text.str();
+}
+
+/// Begins the first of the team's waiting jobs of a priority that can be placed.
+bool placeFirst(PlacementTables& tables, JobPlacer& placer, TeamEntry& team, Priority priority)
+{
+    int tries = 0;
+    for (const auto& [arrival, id] : team.waiting[static_cast<std::size_t>(priority)]) {
+        auto& entry = tables.jobs.at(id);
+        if (!placer.mayBegin(team, tables.sizeOf(entry)) || ++tries > maxTriesPerTeam)
+            return false;
+        if (placer.place(entry))
+            return true;
+    }
+    return false;
+}
+
+bool placeFirst(PlacementTables& tables, JobPlacer& placer, TeamEntry& team)
+{
+    return placeFirst(tables, placer, team, Priority::Urgent) || placeFirst(tables, placer, team, Priority::Normal)
+        || placeFirst(tables, placer, team, Priority::Batch);
+}
+
+double positionOf(const PlacementTables& tables, const TeamEntry& team)
+{
+    return tables.teams.usageOf(team) / std::max(1e-9, tables.teams.shareOf(team));
+}
+
+/// Gives the team that is furthest below its share one place after the other, until nobody's job can be placed.
+template <typename Place> void placeByShare(PlacementTables& tables, const Place& place)
+{
+    using Position = std::pair<double, TeamEntry*>;
+    auto isBehind = [](const Position& left, const Position& right) {
+        if (left.first != right.first)
+            return left.first > right.first;
+        return left.second->team.name > right.second->team.name;
+    };
+    std::priority_queue<Position, std::vector<Position>, decltype(isBehind)> order(isBehind);
+    for (auto& [id, team] : tables.teams.all()) {
+        if (team.isKnown && team.hasWaiting())
+            order.push({ positionOf(tables, team), &team });
+    }
+    while (!order.empty()) {
+        auto* team = order.top().second;
+        order.pop();
+        if (place(*team) && team->hasWaiting())
+            order.push({ positionOf(tables, *team), team });
+    }
+}
+
+/// Places jobs in the order in which they came, whoever submitted them.
+void placeByArrival(PlacementTables& tables, JobPlacer& placer)
+{
+    std::map<std::uint64_t, JobId> arrivals;
+    for (const auto& [id, team] : tables.teams.all()) {
+        for (const auto& queue : team.waiting)
+            arrivals.insert(queue.begin(), queue.end());
+    }
+    for (const auto& [arrival, id] : arrivals) {
+        auto& entry = tables.jobs.at(id);
+        if (placer.mayBegin(tables.teams.entry(entry.job.team), tables.sizeOf(entry)))
+            placer.place(entry);
+    }
+}
+
+} // namespace
+
+void refuseImpossibleJobs(PlacementTables& tables)
+{
+    const auto largest = tables.workers.largest();
+    if (tables.workers.all().empty())
+        return;
+    std::vector<std::pair<JobId, std::string>> refused;
+    std::vector<JobId> orphaned;
+    for (auto& [id, team] : tables.teams.all()) {
+        for (const auto& queue : team.waiting) {
+            for (const auto& [arrival, job] : queue) {
+                const auto size = tables.sizeOf(tables.jobs.at(job));
+                if (!team.isKnown)
+                    orphaned.push_back(job);
+                else if (!size.fitsWithin(largest))
+                    refused.emplace_back(job, describeMisfit(size, largest));
+            }
+        }
+    }
+    for (const auto& job : orphaned)
+        tables.endJob(job, JobOutcome::UnknownTeam, "the team has left the document");
+    for (const auto& [job, detail] : refused)
+        tables.endJob(job, JobOutcome::NeverFits, detail);
+}
+
+void sendAwaiting(PlacementTables& tables)
+{
+    std::vector<std::uint64_t> withdrawn;
+    for (auto& [number, attempt] : tables.attempts) {
+        if (attempt.phase != AttemptPhase::Awaiting)
+            continue;
+        const auto* worker = tables.workers.find(attempt.worker);
+        const auto& team = tables.teams.entry(attempt.team);
+        if (!worker->isListed || worker->record.isDraining || worker->health != WorkerHealth::Healthy)
+            withdrawn.push_back(number);
+        else if (attempt.reserved.fitsWithin(worker->record.capacity - worker->held) && team.sent < team.team.limit)
+            tables.send(attempt);
+    }
+    for (auto number : withdrawn)
+        tables.withdraw(number);
+}
+
+void placeJobs(PlacementTables& tables)
+{
+    JobPlacer placer(tables);
+    if (!tables.profile.ordersByShare) {
+        placeByArrival(tables, placer);
+        return;
+    }
+    placeByShare(tables, [&](TeamEntry& team) { return placeFirst(tables, placer, team, Priority::Urgent); });
+    placeByShare(tables, [&](TeamEntry& team) { return placeFirst(tables, placer, team); });
+}
+
+} // namespace Greengage
--- /dev/null
+++ b/modules/fleet/tests/placement/FakeSite.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include "FakeJob.h"
+#include "FakeTask.h"
+#include "FakeWorker.h"
+
+#include <config/model/Document.h>
+#include <fleet/placement/PlacementPlane.h>
+
+#include <map>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace Greengage {
+
+/// Workers that run what a placement plane tells them, on a virtual clock, with lagging reports. It collects every
+/// broken promise as text.
+class FakeSite {
+public:
+    FakeSite(PlacementProfile, unsigned seed, int workerCount, Resources capacity);
+
+    void setTeams(std::vector<Team>);
+    /// Submits a job that really needs `actual` and really runs for `runTime`.
+    FakeJob& submit(const Job&, const Resources& actual, Seconds runTime);
+    void cancel(const std::vector<JobId>&);
+    void run(Milliseconds);
+
+    FakeWorker& worker(std::size_t index) { return this->workers[index]; }
+    std::size_t workerCount() const { return this->workers.size(); }
+    void drain(std::size_t index, bool isDraining);
+    void reboot(std::size_t index);
+    const std::map<JobId, FakeJob>& allJobs() const { return this->jobs; }
+    const FakeJob& job(const std::string& id) const { return this->jobs.at(JobId(id)); }
+    std::size_t runningCount() const { return this->tasks.size(); }
+    int runningOf(const TeamId&) const;
+    /// What the team's tasks really use, as a part of all workers.
+    double usageOf(const TeamId&) const;
+    std::size_t taskCountOn(std::size_t index) const;
+    bool allEnded() const;
+    Instant instant() const { return this->now; }
+    const std::vector<std::string>& broken() const { return this->violations; }
+
+    int startCount = 0;
+    int checkpointCount = 0;
+    int failedStartCount = 0;
+    int outOfMemoryCount = 0;
+    std::map<WorkerId, int> setAsideCounts;
+
+private:
+    void step();
+    void listWorkers();
+    void carryOut(const StartTask&);
+    void carryOut(const StopTask&);
+    void carryOut(const AskAttempt&);
+    void carryOut(const ThrottleTask&) { }
+    void carryOut(const JobEnded&);
+    void carryOut(const WorkerSetAside& aside) { this->setAsideCounts[aside.worker]++; }
+    void advance(FakeTask&);
+    void endTask(FakeTask&, AttemptStatus);
+    void report(std::uint64_t attempt, AttemptStatus, const Resources&);
+    bool isCut(const WorkerId&) const;
+    FakeWorker& find(const WorkerId&);
+    void check();
+    void violate(const std::string& what);
+
+    PlacementPlane plane;
+    std::mt19937 random;
+    Instant now { Seconds(1) };
+    std::vector<FakeWorker> workers;
+    std::map<WorkerId, std::size_t> workerIndex;
+    std::map<JobId, FakeJob> jobs;
+    std::vector<FakeTask> tasks;
+    std::vector<PlacementInput> inbox;
+    std::multimap<Instant, AttemptReported> reports;
+    std::map<std::uint64_t, AttemptReported> finalReports;
+    std::map<TeamId, int> limits;
+    std::uint64_t revision = 0;
+    std::vector<std::string> violations;
+};
+
+} // namespace Greengage
--- /dev/null
+++ b/modules/fleet/tests/placement/FakeTask.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <core/text/Identifier.h>
+#include <core/time/Instant.h>
+
+#include <cstdint>
+
+namespace Greengage {
+
+/// A task as it really is on a worker.
+struct FakeTask {
+    std::uint64_t attempt = 0;
+    JobId job;
+    WorkerId worker;
+    Instant endsAt;
+    Instant reportedAt;
+    /// When a checkpoint under way is complete; the largest instant if none is.
+    Instant checkpointedAt = Instant::max();
+};
+
+} // namespace Greengage
