--- a/tests/support/ChildProcess.cpp
+++ b/tests/support/ChildProcess.cpp
@@ -1,12 +1,11 @@
-#include <tests/support/ChildProcess.h>
-
-#include <core/time/Deadline.h>
+#include <support/ChildProcess.h>
 
+#include <chrono>
 #include <csignal>
-#include <cstdio>
-#include <cstdlib>
 #include <fcntl.h>
-#include <sys/prctl.h>
+#include <fstream>
+#include <iterator>
+#include <spawn.h>
 #include <sys/wait.h>
 #include <thread>
 #include <unistd.h>
@@ -15,61 +14,65 @@
 
 namespace {
 
-constexpr Milliseconds pollInterval { 5 };
-constexpr int signalBase = 128;
-constexpr int cannotRun = 127;
-
-[[noreturn]] void runProgram(std::vector<std::string>& command, const std::string& outputPath)
-{
-    prctl(PR_SET_PDEATHSIG, SIGKILL);
-    int output = open(outputPath.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
-    dup2(output, STDOUT_FILENO);
-    dup2(output, STDERR_FILENO);
-    std::vector<char*> words;
-    for (auto& word : command)
-        words.push_back(word.data());
-    words.push_back(nullptr);
-    execv(words[0], words.data());
-    std::perror(words[0]);
-    _exit(cannotRun);
-}
+constexpr auto hangBound = std::chrono::seconds(60);
+constexpr auto pollInterval = std::chrono::milliseconds(5);
+constexpr int signalExitBase = 128;
 
 } // namespace
 
-ChildProcess::ChildProcess(std::vector<std::string> command, const std::string& outputPath)
-    : processId(fork())
+ChildProcess::ChildProcess(
+    const std::string& program, const std::vector<std::string>& arguments, const std::string& outputFile)
+    : outputFile(outputFile)
 {
-    if (this->processId == 0)
-        runProgram(command, outputPath);
+    std::vector<char*> words { const_cast<char*>(program.c_str()) };
+    for (const auto& argument : arguments)
+        words.push_back(const_cast<char*>(argument.c_str()));
+    words.push_back(nullptr);
+    posix_spawn_file_actions_t actions;
+    posix_spawn_file_actions_init(&actions);
+    posix_spawn_file_actions_addopen(
+        &actions, STDERR_FILENO, outputFile.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_APPEND, 0600);
+    posix_spawn_file_actions_adddup2(&actions, STDERR_FILENO, STDOUT_FILENO);
+    if (posix_spawn(&this->process, program.c_str(), &actions, nullptr, words.data(), environ) != 0)
+        this->process = -1;
+    posix_spawn_file_actions_destroy(&actions);
 }
 
 ChildProcess::~ChildProcess()
 {
-    this->signal(SIGKILL);
-    if (!this->status)
-        waitpid(this->processId, nullptr, 0);
+    if (this->process <= 0 || this->exitCode())
+        return;
+    kill(this->process, SIGCONT);
+    kill(this->process, SIGKILL);
+    waitpid(this->process, nullptr, 0);
 }
 
-void ChildProcess::signal(int number)
+void ChildProcess::signal(int number) const
 {
-    if (!this->exitStatus())
-        kill(this->processId, number);
+    if (this->process > 0 && !this->code)
+        kill(this->process, number);
 }
 
-std::optional<int> ChildProcess::exitStatus()
+std::optional<int> ChildProcess::exitCode()
 {
-    int state = 0;
-    if (!this->status && waitpid(this->processId, &state, WNOHANG) == this->processId)
-        this->status = WIFEXITED(state) ? WEXITSTATUS(state) : signalBase + WTERMSIG(state);
-    return this->status;
+    int status = 0;
+    if (this->process > 0 && !this->code && waitpid(this->process, &status, WNOHANG) == this->process)
+        this->code = WIFEXITED(status) ? WEXITSTATUS(status) : signalExitBase + WTERMSIG(status);
+    return this->code;
 }
 
-std::optional<int> ChildProcess::wait(Milliseconds limit)
+std::optional<int> ChildProcess::awaitExit()
 {
-    auto deadline = Deadline::after(BootClock::now(), limit);
-    while (!this->exitStatus() && !deadline.hasPassed(BootClock::now()))
+    auto giveUp = std::chrono::steady_clock::now() + hangBound;
+    while (!this->exitCode() && std::chrono::steady_clock::now() < giveUp)
         std::this_thread::sleep_for(pollInterval);
-    return this->status;
+    return this->code;
+}
+
+std::string ChildProcess::output() const
+{
+    std::ifstream stream(this->outputFile);
+    return { std::istreambuf_iterator<char>(stream), {} };
 }
 
 } // namespace Greengage
--- a/tests/support/ChildProcess.h
+++ b/tests/support/ChildProcess.h
@@ -1,7 +1,5 @@
 #pragma once
 
-#include <core/time/Instant.h>
-
 #include <optional>
 #include <string>
 #include <sys/types.h>
@@ -9,30 +7,32 @@
 
 namespace Greengage {
 
-/// A program started by a test. It is ended with the object, and by the kernel should the test itself die.
+/// A program started by a test, with its output in a file. It is killed when this object goes, if it still runs.
 class ChildProcess {
 public:
-    /// The first word is the program's path. Standard output and error are appended to the file.
-    ChildProcess(std::vector<std::string> command, const std::string& outputPath);
+    ChildProcess(const std::string& program, const std::vector<std::string>& arguments, const std::string& outputFile);
     ~ChildProcess();
 
     ChildProcess(const ChildProcess&) = delete;
     ChildProcess& operator=(const ChildProcess&) = delete;
 
-    pid_t id() const { return this->processId; }
+    void signal(int number) const;
+
+    /// The exit code, 128 plus the signal's number if one ended it, or nothing while it runs.
+    std::optional<int> exitCode();
 
-    /// Sends a signal, unless the process has ended.
-    void signal(int number);
+    /// Waits for its end; gives up after a bound that only a hang reaches.
+    std::optional<int> awaitExit();
 
-    /// The exit status if the process has ended, with 128 added to the number of a signal that ended it.
-    std::optional<int> exitStatus();
+    pid_t id() const { return this->process; }
 
-    /// Waits for the end; nothing if it has not come within the limit.
-    std::optional<int> wait(Milliseconds limit);
+    /// Everything that it has printed.
+    std::string output() const;
 
 private:
-    pid_t processId;
-    std::optional<int> status;
+    std::string outputFile;
+    pid_t process = -1;
+    std::optional<int> code;
 };
 
 } // namespace Greengage
