--- a/modules/cli/admin/AdminClient.cpp
+++ b/modules/cli/admin/AdminClient.cpp
@@ -13,6 +13,7 @@
 
 constexpr int okStatus = 200;
 constexpr int unauthorisedStatus = 401;
+constexpr int unavailableStatus = 503;
 constexpr const char* anyAddress = "0.0.0.0";
 
 std::string describe(const SocketAddress& daemon) { return fmt::format("{}:{}", daemon.address, daemon.port); }
@@ -37,13 +38,13 @@
 }
 
 Result<HttpAnswer, AdminError> AdminClient::exchange(
-    const SocketAddress& daemon, const std::string& path, const std::string* body)
+    const SocketAddress& daemon, const std::string& path, const std::string* body, Milliseconds timeout)
 {
     HttpCall call;
     call.address = daemon.address;
     call.port = daemon.port;
     call.path = path;
-    call.timeout = AdminClient::exchangeTimeout;
+    call.timeout = timeout;
     call.headers.push_back({ "Authorization", "Bearer " + this->key });
     call.post = body != nullptr;
     if (body != nullptr)
@@ -67,8 +68,9 @@
     AdminError last;
     for (std::size_t attempt = 0; attempt < this->addresses.size(); ++attempt) {
         auto answer = this->exchange(this->addresses[this->current], path, nullptr);
+        auto cannotTell = answer.has_error() && answer.error().status == unavailableStatus;
         if (answer.has_value() || answer.error().code == AdminErrorCode::NotAuthorised
-            || answer.error().code == AdminErrorCode::Refused)
+            || (answer.error().code == AdminErrorCode::Refused && !cannotTell))
             return answer;
         last = answer.error();
         this->current = (this->current + 1) % this->addresses.size();
@@ -94,9 +96,9 @@
     return last;
 }
 
-Result<HttpAnswer, AdminError> AdminClient::postToNext(const std::string& path, const std::string& body)
+Result<HttpAnswer, AdminError> AdminClient::submitToNext(const std::string& path, const std::string& body)
 {
-    auto answer = this->exchange(this->addresses[this->current], path, &body);
+    auto answer = this->exchange(this->addresses[this->current], path, &body, AdminClient::submissionTimeout);
     if (answer.has_error())
         this->current = (this->current + 1) % this->addresses.size();
     return answer;
--- a/modules/cli/admin/AdminClient.h
+++ b/modules/cli/admin/AdminClient.h
@@ -22,17 +22,19 @@
 public:
     /// Time for one exchange with one daemon.
     static constexpr Milliseconds exchangeTimeout { 5000 };
+    /// Time for one submission to one daemon, which answers only when the change is in force or will not soon be.
+    static constexpr Milliseconds submissionTimeout { 15000 };
 
     AdminClient(event_base&, std::vector<SocketAddress> daemons, std::string key);
 
-    /// Reads a path. Lost answers are asked for again at the next daemon.
+    /// Reads a path. Where the answer is lost, or the daemon cannot tell, the next daemon is asked.
     Result<HttpAnswer, AdminError> get(const std::string& path);
 
     /// Sends a command to the first daemon that can be reached. A command whose answer is lost is not sent again.
     Result<HttpAnswer, AdminError> post(const std::string& path, const std::string& body);
 
-    /// Sends a command to one daemon only; after a failure the next call goes to the next daemon.
-    Result<HttpAnswer, AdminError> postToNext(const std::string& path, const std::string& body);
+    /// Submits a change to one daemon only; after a failure the next call goes to the next daemon.
+    Result<HttpAnswer, AdminError> submitToNext(const std::string& path, const std::string& body);
 
     /// Reads a path from one daemon alone.
     Result<HttpAnswer, AdminError> getFrom(const SocketAddress& daemon, const std::string& path);
@@ -48,7 +50,8 @@
     const std::vector<SocketAddress>& daemons() const { return this->addresses; }
 
 private:
-    Result<HttpAnswer, AdminError> exchange(const SocketAddress&, const std::string& path, const std::string* body);
+    Result<HttpAnswer, AdminError> exchange(const SocketAddress&, const std::string& path, const std::string* body,
+        Milliseconds timeout = AdminClient::exchangeTimeout);
 
     event_base& base;
     HttpClient http;
--- a/modules/cli/admin/Submitter.cpp
+++ b/modules/cli/admin/Submitter.cpp
@@ -74,7 +74,7 @@
 {
     auto body = AdminCodec::encodeSubmission(submission);
     while (true) {
-        auto answer = this->client.postToNext("/v1/document", body);
+        auto answer = this->client.submitToNext("/v1/document", body);
         if (answer.has_value()) {
             auto decoded = AdminCodec::decodeAnswer(answer.value().body);
             if (decoded.has_error())
--- a/modules/cli/commands/GlobalOptions.h
+++ b/modules/cli/commands/GlobalOptions.h
@@ -13,7 +13,7 @@
     std::vector<std::string> daemons;
     std::string keyFile;
     bool json = false;
-    int timeoutSeconds = 15;
+    int timeoutSeconds = 30;
 };
 
 } // namespace Greengage
