--- a/modules/fleet/requests/RequestPlane.cpp
+++ b/modules/fleet/requests/RequestPlane.cpp
@@ -2,10 +2,13 @@
 
 #include <fleet/requests/admission/Admission.h>
 #include <fleet/requests/attempts/Attempts.h>
+#include <fleet/requests/claims/Claims.h>
 #include <fleet/requests/dispatch/Dispatch.h>
 #include <fleet/requests/dispatch/EndpointTable.h>
 #include <fleet/requests/dispatch/Expiry.h>
 #include <fleet/requests/freshness/FreshnessFence.h>
+#include <fleet/requests/limits/DeadAllotments.h>
+#include <fleet/requests/limits/LimitEscrow.h>
 #include <fleet/requests/tables/RequestTables.h>
 #include <fleet/requests/tables/Tick.h>
 
@@ -19,11 +22,13 @@
     {
         std::vector<RequestOutput> outbox;
         Tick tick { this->tables, now, outbox };
+        LimitEscrow(tick).checkContact();
         for (const auto& input : inputs)
             std::visit([&](const auto& message) { take(tick, message); }, input);
         Expiry(tick).run();
         Attempts(tick).settleUnknown();
         Dispatch(tick).run();
+        LimitEscrow(tick).run();
         return outbox;
     }
 
@@ -34,7 +39,13 @@
     static void take(Tick& tick, const CallerLeft& message) { Expiry(tick).take(message); }
     static void take(Tick& tick, const EndpointsListed& message) { EndpointTable(tick).take(message); }
     static void take(Tick& tick, const AttemptEnded& message) { Attempts(tick).take(message); }
-    static void take(Tick& tick, const RunningReported& message) { Attempts(tick).take(message); }
+
+    static void take(Tick& tick, const RunningReported& message)
+    {
+        Attempts(tick).take(message);
+        DeadAllotments(tick).take(message);
+    }
+
     static void take(Tick& tick, const ShutdownRequested&) { tick.tables.shuttingDown = true; }
 
     static void take(Tick& tick, const DocumentApplied& message)
@@ -42,17 +53,22 @@
         auto& tables = tick.tables;
         if (tables.document && message.document->revision <= tables.document->revision)
             return;
-        tables.document = message.document;
+        tables.apply(message.document);
         EndpointTable(tick).assignServices();
         Admission(tick).recheckWaiting();
     }
 
     static void take(Tick& tick, const StoreConfirmed& message) { FreshnessFence(tick).take(message); }
-    static void take(Tick&, const ClaimSettled&) { }
-    static void take(Tick&, const AllotmentsRead&) { }
-    static void take(Tick&, const AllotmentsWriteFailed&) { }
+    static void take(Tick& tick, const ClaimSettled& message) { Claims(tick).take(message); }
+    static void take(Tick& tick, const AllotmentsRead& message) { LimitEscrow(tick).take(message); }
+    static void take(Tick& tick, const AllotmentsWriteFailed& message) { LimitEscrow(tick).take(message); }
     static void take(Tick& tick, const PeerHeard& message) { FreshnessFence(tick).take(message); }
-    static void take(Tick& tick, const MembersListed& message) { FreshnessFence(tick).take(message); }
+
+    static void take(Tick& tick, const MembersListed& message)
+    {
+        FreshnessFence(tick).take(message);
+        LimitEscrow(tick).take(message);
+    }
 };
 
 RequestPlane::RequestPlane(PeerState self)
@@ -75,6 +91,11 @@
     PeerState state = tables.self;
     FreshnessFence(tick).describe(state);
     state.shuttingDown = tables.shuttingDown;
+    state.appliedLedgerRevision = tables.ledgerRevision;
+    for (const auto& [id, endpoint] : tables.endpoints) {
+        if (endpoint.draining && endpoint.running > 0)
+            state.busyDrainingVms.push_back(id);
+    }
     for (const auto& [key, line] : tables.lines) {
         if (line.running > 0 || line.waiting > 0)
             state.demand.push_back(TeamDemand { key.queue, key.team, line.running, line.waiting });
@@ -82,10 +103,6 @@
     return state;
 }
 
-bool RequestPlane::isIdle() const
-{
-    const auto& tables = this->implementation->tables;
-    return tables.shuttingDown && tables.requests.empty();
-}
+bool RequestPlane::isIdle() const { return this->implementation->tables.idle; }
 
 } // namespace Greengage
--- a/modules/fleet/requests/admission/Admission.h
+++ b/modules/fleet/requests/admission/Admission.h
@@ -20,12 +20,16 @@
     void admit(const RequestArrived&);
     /// Ends waiting requests whose queue, team or key a new document has taken away.
     void recheckWaiting();
+    /// The same for one waiting request. The row is invalid afterwards if it ends.
+    void recheckWaiting(RequestRow&);
 
 private:
     /// Fills in team and key, or gives the reason for refusing.
     OutcomeReason identify(const Queue&, const RequestArrived&, RequestRow&) const;
     OutcomeReason checkRoom(const Queue&, const RequestRow&) const;
     OutcomeReason recheck(const RequestRow&) const;
+    /// Team, salt and digest of a key, so that a key that was replaced under its old name is noticed; empty if absent.
+    std::string digestOf(const KeyId&) const;
     void refuse(const RequestArrived&, OutcomeReason, const TeamId& = {});
 
     Tick& tick;
--- a/modules/fleet/requests/dispatch/Dispatch.cpp
+++ b/modules/fleet/requests/dispatch/Dispatch.cpp
@@ -1,8 +1,10 @@
 #include <fleet/requests/dispatch/Dispatch.h>
 
 #include <algorithm>
+#include <fleet/requests/claims/Claims.h>
 #include <fleet/requests/dispatch/EndpointSelection.h>
 #include <fleet/requests/freshness/FreshnessFence.h>
+#include <fleet/requests/limits/LimitEscrow.h>
 #include <fleet/requests/tables/RequestLifecycle.h>
 #include <fleet/requests/tables/RequestTables.h>
 
@@ -12,6 +14,10 @@
 
 /// Longest time between the decision to send and the first byte, so that a newer decision is not overtaken for long.
 constexpr Milliseconds sendWindow { 1000 };
+/// How long the first attempt of idempotent work may take, so that a silent connection leaves time for a second: a part
+/// of the time left in percent, but at least so many times the median run time.
+constexpr int firstAttemptPercent = 60;
+constexpr int firstAttemptMedians = 4;
 
 } // namespace
 
@@ -31,26 +37,39 @@
     auto& requests = this->tick.tables.requests;
     while (!line.order.empty()) {
         auto found = requests.find(line.order.front());
-        if (found != requests.end() && found->second.stage == RequestStage::Waiting)
+        bool waits = found != requests.end() && found->second.stage == RequestStage::Waiting;
+        if (waits && !this->comesTooLate(found->second))
             return &found->second;
         line.order.pop_front();
+        if (waits)
+            RequestLifecycle(this->tick).refuse(found->second, OutcomeReason::DeadlinePassed);
     }
     return nullptr;
 }
 
+bool Dispatch::comesTooLate(const RequestRow& row) const
+{
+    if (row.deadline.hasPassed(this->tick.now))
+        return true;
+    auto estimate = this->tick.tables.runTimes.find(row.queue);
+    if (row.attempts > 0 || estimate == this->tick.tables.runTimes.end())
+        return false;
+    auto median = estimate->second.median();
+    return row.deadline.remaining(this->tick.now) < median && row.deadline.remaining(row.arrivedAt) >= median;
+}
+
 bool Dispatch::isPermitted(const RequestRow& row) const
 {
     bool keyed = !row.key.isEmpty();
     if (keyed && this->tick.now >= this->keyedWorkEnd)
         return false;
-    const Team* team = this->tick.tables.findTeam(row.team);
-    return !team || this->tick.tables.runningOf(row.team) < team->limit;
+    return LimitEscrow(this->tick).allowsStart(row.team);
 }
 
 double Dispatch::loadOf(const WorkLineKey& key) const
 {
     const Team* team = this->tick.tables.findTeam(key.team);
-    return this->tick.tables.runningOf(key.team) / (team ? team->share : 1.0);
+    return this->tick.tables.usageOf(key.team).running / (team ? team->share : 1.0);
 }
 
 bool Dispatch::goesBefore(
@@ -93,12 +112,19 @@
 {
     line.order.pop_front();
     RequestLifecycle(this->tick).start(row, endpoint.id);
-    this->send(row, endpoint);
+    Claims claims(this->tick);
+    if (claims.isNeeded(row))
+        claims.request(row);
+    else
+        this->send(row, endpoint);
 }
 
 void Dispatch::send(RequestRow& row, const EndpointRow& endpoint)
 {
+    if (row.attempts == 0)
+        this->tick.tables.retryBudgets[row.service].addFirstSend();
     row.attempts += 1;
+    row.sentAt = this->tick.now;
     SendAttempt attempt;
     attempt.request = row.id;
     attempt.attempt = row.attempts;
@@ -109,9 +135,21 @@
     attempt.notAfter = std::min(row.deadline, Deadline::after(this->tick.now, sendWindow));
     if (!row.key.isEmpty())
         attempt.notAfter = std::min(attempt.notAfter, Deadline(this->keyedWorkEnd));
-    attempt.answerBy = row.deadline;
-    attempt.freshConnection = !row.idempotent;
+    attempt.answerBy = this->answerBy(row);
+    attempt.freshConnection = !row.idempotent || row.attempts > 1 || endpoint.consecutiveFailures > 0;
     this->tick.outbox.emplace_back(attempt);
 }
 
+Deadline Dispatch::answerBy(const RequestRow& row) const
+{
+    bool mayRetry = row.idempotent && row.attempts == 1 && EndpointSelection(this->tick).countCandidates(row) > 1;
+    if (!mayRetry)
+        return row.deadline;
+    auto left = row.deadline.remaining(this->tick.now);
+    auto estimate = this->tick.tables.runTimes.find(row.queue);
+    auto median = estimate == this->tick.tables.runTimes.end() ? Microseconds::zero() : estimate->second.median();
+    auto patience = std::max(left * firstAttemptPercent / 100, median * firstAttemptMedians);
+    return std::min(row.deadline, Deadline::after(this->tick.now, patience));
+}
+
 } // namespace Greengage
