Make the test of priorities depend on them

The urgent request now comes later and stands in the later line.

Seen failing first: with priorities left out of the order, urgentWorkGoesBeforeBatch fails. Restored, the suite passes.

--- a/modules/fleet/tests/SharingTests.cpp
+++ b/modules/fleet/tests/SharingTests.cpp
@@ -96,12 +96,13 @@
 {
     this->startServing();
     auto document = makeDocument(2);
-    document->queues[0].priority = Priority::Batch;
-    document->queues[1].priority = Priority::Urgent;
+    document->queues[0].priority = Priority::Urgent;
+    document->queues[1].priority = Priority::Batch;
     this->tick(DocumentApplied { document });
     this->tick(EndpointsListed {});
-    this->tick(this->makeRequest("r1", "quotes", "k2"));
-    this->tick(this->makeRequest("r2", "orders", "k1"));
+    this->tick(this->makeRequest("r1", "orders", "k1"));
+    this->clock.advance(Milliseconds(1));
+    this->tick(this->makeRequest("r2", "quotes", "k2"));
     auto sent = pick<SendAttempt>(this->tick(makeEndpoints()));
     BOOST_TEST(sent.size() == 2);
     BOOST_TEST(sent[0].request.string() == "r2");
