Echo the request's id on refusals of endpoints

The daemon takes an answer without the request's id for broken, and the minion stand-in echoed the id on status 200 only, so that each "slots full" became "outcome unknown".

The daemon stays strict: an answer that does not name its request is nobody's.

Seen: refusesWhenItsSlotsAreFull asks for the id on a refusal.

--- a/tests/standins/minion/Endpoint.cpp
+++ b/tests/standins/minion/Endpoint.cpp
@@ -17,6 +17,13 @@
 
 constexpr int misdirectedStatus = 421;
 
+void echoRequestId(evhttp_request* request)
+{
+    auto id = HttpReplies::header(request, "Greengage-Request");
+    if (!id.empty())
+        evhttp_add_header(evhttp_request_get_output_headers(request), "Greengage-Request", id.c_str());
+}
+
 } // namespace
 
 Endpoint::Endpoint(Loop& loop, HistoryFile& history, EndpointSettings settings)
@@ -57,6 +64,7 @@
 void Endpoint::serve(evhttp_request* request)
 {
     auto path = HttpReplies::path(request);
+    echoRequestId(request);
     auto meant = HttpReplies::header(request, "Greengage-Endpoint");
     if (path == "/running")
         this->reportRunning(request);
@@ -130,7 +138,6 @@
             this->die();
         return;
     }
-    evhttp_add_header(evhttp_request_get_output_headers(job.exchange), "Greengage-Request", job.request.c_str());
     HttpReplies::text(job.exchange, HTTP_OK, body);
 }
 
--- a/tests/standins/tests/MinionTests.cpp
+++ b/tests/standins/tests/MinionTests.cpp
@@ -37,7 +37,9 @@
     for (int job = 0; job < 8; ++job)
         this->begin(this->makeCall("/run", makeBody("c" + std::to_string(job), longRunMilliseconds)));
     BOOST_TEST(this->waitForRunning(8));
-    BOOST_TEST(this->work(makeBody("c9", 5)).value().status == 503);
+    auto refused = this->work(makeBody("c9", 5)).value();
+    BOOST_TEST(refused.status == 503);
+    BOOST_TEST(refused.header("Greengage-Request") == "r1");
     BOOST_TEST(this->countEvents("start") == 8);
 }
 
