Bound the connections from one daemon to one endpoint

Cause: requests that may not be repeated open fresh connections while up to 8 earlier ones rest, so one daemon could hold 16 connections to an endpoint and seven daemons 112, and an endpoint takes 64.

Change: resting connections give way, the oldest first, so that one daemon has at most 8 connections to an endpoint unless more are at work.

Seen failing: with the bound off, restingConnectionsGiveWayToFreshOnes counts more than 8.

--- a/modules/gateway/endpoints/EndpointClient.cpp
+++ b/modules/gateway/endpoints/EndpointClient.cpp
@@ -15,7 +15,9 @@
 
 namespace {
 
-constexpr std::size_t maxIdlePerEndpoint = 8;
+/// Resting connections are closed so that an endpoint has no more than this many from one daemon, unless as many are at
+/// work.
+constexpr std::size_t maxConnectionsPerEndpoint = 8;
 constexpr Seconds idleTimeout { 15 };
 constexpr Seconds sweepInterval { 1 };
 constexpr Milliseconds askRunningTimeout { 1000 };
@@ -123,6 +125,7 @@
     EndpointConnection& started = *connection;
     std::uint64_t id = this->nextExchange++;
     this->busy.emplace(id, std::move(connection));
+    ++this->busyAt[address];
     std::string expectedEcho;
     for (const HttpHeader& header : request.headers) {
         if (header.name == HeaderNames::request)
@@ -143,25 +146,43 @@
         found->second.pop_back();
         if (connection->isReusable())
             return connection;
-        this->retired.push_back(std::move(connection));
-        this->cleanup.schedule(Microseconds::zero());
+        this->retire(std::move(connection));
+    }
+    if (found != this->idle.end() && !found->second.empty()
+        && this->connectionsTo(address) >= maxConnectionsPerEndpoint) {
+        this->retire(std::move(found->second.front()));
+        found->second.erase(found->second.begin());
     }
     return std::make_unique<EndpointConnection>(this->base, address, this->sourceAddress);
 }
 
+std::size_t EndpointClient::connectionsTo(const EndpointAddress& address) const
+{
+    auto resting = this->idle.find(address);
+    auto working = this->busyAt.find(address);
+    return (resting == this->idle.end() ? 0 : resting->second.size())
+        + (working == this->busyAt.end() ? 0 : working->second);
+}
+
+void EndpointClient::retire(ConnectionPointer connection)
+{
+    this->retired.push_back(std::move(connection));
+    this->cleanup.schedule(Microseconds::zero());
+}
+
 void EndpointClient::release(std::uint64_t exchange, bool keep)
 {
     auto found = this->busy.find(exchange);
     ConnectionPointer connection = std::move(found->second);
     this->busy.erase(found);
-    std::vector<ConnectionPointer>& resting = this->idle[connection->address()];
-    if (keep && connection->isReusable() && resting.size() < maxIdlePerEndpoint) {
+    const EndpointAddress& address = connection->address();
+    if (--this->busyAt[address] == 0)
+        this->busyAt.erase(address);
+    if (keep && connection->isReusable() && this->connectionsTo(address) < maxConnectionsPerEndpoint) {
         connection->idleUntil = Deadline::after(BootClock::now(), idleTimeout);
-        resting.push_back(std::move(connection));
-        return;
-    }
-    this->retired.push_back(std::move(connection));
-    this->cleanup.schedule(Microseconds::zero());
+        this->idle[address].push_back(std::move(connection));
+    } else
+        this->retire(std::move(connection));
 }
 
 void EndpointClient::closeExpired()
--- a/modules/gateway/endpoints/EndpointClient.h
+++ b/modules/gateway/endpoints/EndpointClient.h
@@ -49,6 +49,9 @@
     /// How many exchanges are under way.
     std::size_t active() const { return this->busy.size(); }
 
+    /// How many connections to an endpoint are open, resting ones included.
+    std::size_t connectionsTo(const EndpointAddress&) const;
+
 private:
     using ExchangeCallback = std::function<void(ExchangeResult)>;
     using ConnectionPointer = std::unique_ptr<EndpointConnection>;
@@ -56,6 +59,7 @@
     void exchange(const EndpointAddress&, bool freshConnection, const ExchangeRequest&, ExchangeCallback);
     ConnectionPointer takeConnection(const EndpointAddress&, bool freshConnection);
     void release(std::uint64_t exchange, bool keep);
+    void retire(ConnectionPointer);
     void closeExpired();
 
     event_base& base;
@@ -63,6 +67,7 @@
     IncarnationId self;
     std::uint64_t nextExchange = 1;
     std::unordered_map<std::uint64_t, ConnectionPointer> busy;
+    std::map<EndpointAddress, std::size_t> busyAt;
     std::map<EndpointAddress, std::vector<ConnectionPointer>> idle;
     /// Connections to be closed from a clean stack.
     std::vector<ConnectionPointer> retired;
--- a/modules/gateway/tests/EndpointClientTests.cpp
+++ b/modules/gateway/tests/EndpointClientTests.cpp
@@ -89,6 +89,25 @@
     BOOST_TEST(this->server.connections == 2);
 }
 
+BOOST_AUTO_TEST_CASE(restingConnectionsGiveWayToFreshOnes)
+{
+    constexpr int turns = 20;
+    constexpr std::size_t atOnce = 8;
+    EndpointAddress address { VmId("vm1"), "127.0.0.1", this->server.port() };
+    for (int turn = 0; turn < turns; ++turn) {
+        std::size_t ended = 0;
+        for (std::size_t index = 0; index < atOnce; ++index) {
+            SendAttempt attempt = this->makeAttempt();
+            attempt.freshConnection = true;
+            this->client.send(
+                attempt, QueueId("q"), "body", [&ended](const AttemptEnded&, EndpointAnswer) { ++ended; });
+            BOOST_TEST(this->client.connectionsTo(address) <= atOnce);
+        }
+        BOOST_REQUIRE(this->loop.runUntil([&ended] { return ended == atOnce; }));
+        BOOST_TEST(this->client.connectionsTo(address) <= atOnce);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(connectionIsNotReusedForAnotherVm)
 {
     this->run(this->makeAttempt());
