Add the demo: a whole site of processes in one command

Cause: a newcomer needs one command that shows the whole path, and its history judged.

The verdict also counts broken attempts.

Left: a maintenance wave, once daemons drive waves.

--- a/tests/checker/HistoryChecker.cpp
+++ b/tests/checker/HistoryChecker.cpp
@@ -77,6 +77,8 @@
     for (const auto& answer : this->history.answers) {
         if (answer.outcome == SeenOutcome::Answered && !answer.whole)
             this->verdict.add(HistoryFault::Cut, "call=" + answer.call);
+        if (answer.outcome == SeenOutcome::Broken)
+            ++this->verdict.brokenAttempts;
         bool refused = answer.outcome == SeenOutcome::NotRun || answer.outcome == SeenOutcome::NotSent;
         bool started = startedCalls.contains(answer.call)
             || (!answer.request.empty() && startedRequests.contains(answer.request));
--- a/tests/checker/HistoryVerdict.cpp
+++ b/tests/checker/HistoryVerdict.cpp
@@ -17,7 +17,7 @@
 std::string HistoryVerdict::summary() const
 {
     auto text = "answered=" + std::to_string(this->answered) + " not_run=" + std::to_string(this->notRun)
-        + " unknown=" + std::to_string(this->unknown);
+        + " unknown=" + std::to_string(this->unknown) + " broken_attempts=" + std::to_string(this->brokenAttempts);
     for (const auto& [fault, name] : EnumNames<HistoryFault>::table)
         text += " " + std::string(name) + "=" + std::to_string(this->count(fault));
     return text;
--- a/tests/checker/HistoryVerdict.h
+++ b/tests/checker/HistoryVerdict.h
@@ -47,6 +47,8 @@
     int answered = 0;
     int notRun = 0;
     int unknown = 0;
+    /// Attempts whose connection broke or that got no answer in the caller's own time.
+    int brokenAttempts = 0;
     std::map<HistoryFault, int> faults;
     /// One line for each fault.
     std::vector<std::string> details;
--- a/tests/checker/tests/CheckerTests.cpp
+++ b/tests/checker/tests/CheckerTests.cpp
@@ -40,6 +40,7 @@
     BOOST_TEST(verdict.answered == 7);
     BOOST_TEST(verdict.notRun == 1);
     BOOST_TEST(verdict.unknown == 1);
+    BOOST_TEST(verdict.brokenAttempts == 1);
 }
 
 BOOST_AUTO_TEST_CASE(lostSubmissionIsCaught) { requireOnly("lost", HistoryFault::Lost, 2); }
--- /dev/null
+++ b/tests/demo/Demo.cpp
@@ -0,0 +1,91 @@
+#include <tests/demo/Demo.h>
+
+#include <cstdio>
+#include <thread>
+
+namespace Greengage {
+
+namespace {
+
+constexpr Milliseconds loadDuration { 16000 };
+constexpr Milliseconds beforeWithdrawal { 4000 };
+constexpr Milliseconds loadEndLimit { 40000 };
+constexpr Milliseconds stopLimit { 20000 };
+constexpr std::string_view withdrawnKey = "lighting-1";
+
+void say(const std::string& text)
+{
+    std::printf("%s\n", text.c_str());
+    std::fflush(stdout);
+}
+
+std::string count(const char* name, int value) { return std::string(" ") + name + "=" + std::to_string(value); }
+
+} // namespace
+
+Demo::Demo(std::uint64_t seed)
+    : seed(seed)
+    , site(SitePlan::workshop())
+{
+}
+
+bool Demo::run()
+{
+    this->startSite();
+    this->startLoad();
+    std::this_thread::sleep_for(beforeWithdrawal);
+    this->withdrawKey();
+    if (!this->site.waitForCallers(loadEndLimit)) {
+        say("callers have not ended in time");
+        return false;
+    }
+    bool stopped = this->stopAll();
+    return this->judge() && stopped;
+}
+
+void Demo::startSite()
+{
+    this->site.startPlatform();
+    say("platform: store and " + std::to_string(this->site.layout().endpoints().size()) + " endpoints of 5 services");
+    this->site.startDaemons();
+    say("daemons: " + std::to_string(this->site.layout().daemons().size()) + " in 4 availability zones");
+    this->site.applyAsOperator();
+    say("document: applied by greengagectl, in force on every daemon");
+}
+
+void Demo::startLoad()
+{
+    std::vector<std::string> loads;
+    for (const char* queue : { "quotes", "reservations", "layouts", "previews", "orders" })
+        loads.push_back(std::string("queue=") + queue + " rate=50 run_ms=400 deadline_ms=4000");
+    this->site.startCallers(
+        "callers", loads, loadDuration, { "--burst-ms", "1500", "--seed", std::to_string(this->seed) });
+    say("callers: five queues, each in turn at five times its mean");
+}
+
+void Demo::withdrawKey()
+{
+    this->site.withdrawAsOperator(std::string(withdrawnKey));
+    say("key: " + std::string(withdrawnKey) + " withdrawn by greengagectl");
+}
+
+bool Demo::stopAll()
+{
+    bool stopped = this->site.stopDaemons(stopLimit);
+    say(stopped ? "daemons: all stopped gracefully" : "daemons: not all stopped gracefully");
+    return stopped;
+}
+
+bool Demo::judge() const
+{
+    auto verdict = this->site.verdict();
+    for (const auto& detail : verdict.details)
+        say(detail);
+    say("history: " + verdict.summary());
+    say("demo:" + count("answered", verdict.answered) + count("not_run", verdict.notRun)
+        + count("unknown", verdict.unknown) + count("lost", verdict.count(HistoryFault::Lost))
+        + count("cut", verdict.count(HistoryFault::Cut)) + count("doubled", verdict.count(HistoryFault::Doubled)));
+    return verdict.isClean() && verdict.answered > 0;
+}
+
+} // namespace Greengage
--- a/tests/site/Site.cpp
+++ b/tests/site/Site.cpp
@@ -274,6 +274,41 @@
     }
 }
 
+int Site::operate(const std::vector<std::string>& command)
+{
+    auto keyFile = this->file("operator.key");
+    std::ofstream(keyFile) << operatorKey << "\n";
+    std::vector<std::string> words { "greengagectl", "--key-file", keyFile };
+    for (const auto& place : this->places.daemons())
+        words.insert(words.end(), { "--daemon", fmt::format("{}:{}", place.address, this->places.adminPort()) });
+    words.insert(words.end(), command.begin(), command.end());
+    auto process = this->start("operator", words);
+    return process->wait(Site::waitLimit).value_or(-1);
+}
+
+void Site::requireOperated(const std::vector<std::string>& command)
+{
+    auto code = this->operate(command);
+    if (code != 0)
+        throw std::runtime_error(
+            fmt::format("greengagectl {} ended with {}; see {}", command[0], code, this->file("operator.log")));
+}
+
+void Site::applyAsOperator()
+{
+    auto path = this->file("document.ini");
+    std::ofstream(path) << this->operatorsDocument.text();
+    this->recordLimits(true);
+    this->requireOperated({ "apply", "--author", "demo", "--base", "0", path });
+}
+
+void Site::withdrawAsOperator(const std::string& key)
+{
+    this->operatorsDocument.withdrawKey(key);
+    this->recordWithdrawals();
+    this->requireOperated({ "key", "withdraw", "--author", "demo", key });
+}
+
 void Site::controlStore(const Json::Value& settings)
 {
     this->http.post(SiteLayout::storeAddress(), this->places.storeControlPort(), "/control", settings);
@@ -341,7 +376,7 @@
     return this->http.waitUntil(allEnded, limit);
 }
 
-HistoryVerdict Site::verdict() const
+History Site::history() const
 {
     HistoryReader reader;
     for (const auto& entry : std::filesystem::directory_iterator(this->folder)) {
@@ -351,7 +386,13 @@
         if (!read)
             throw std::runtime_error(read.error());
     }
-    return HistoryChecker(reader.history()).check();
+    return reader.history();
+}
+
+HistoryVerdict Site::verdict() const
+{
+    auto recorded = this->history();
+    return HistoryChecker(recorded).check();
 }
 
 } // namespace Greengage
--- a/tests/site/Site.h
+++ b/tests/site/Site.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <checker/History.h>
 #include <checker/HistoryVerdict.h>
 #include <standins/common/HistoryFile.h>
 #include <tests/site/ChildProcess.h>
@@ -48,6 +49,15 @@
     /// withdrawals in the operators' history. Throws if it is refused or not in force in time.
     void applyDocument(std::size_t daemonIndex = 0);
 
+    /// Runs greengagectl with the operators' key against all daemons and returns its exit code. What it prints is
+    /// appended to operator.log.
+    int operate(const std::vector<std::string>& command);
+
+    /// Puts the document in force, or withdraws a key, as an operator would. The withdrawal counts from the command.
+    /// They throw if greengagectl does not end with 0.
+    void applyAsOperator();
+    void withdrawAsOperator(const std::string& key);
+
     /// Lists a VM as live or leaving.
     void setVmState(const std::string& vm, const std::string& state);
 
@@ -66,7 +76,8 @@
     /// Asks all daemons to shut down; tells whether every one ended with status 0 within the limit.
     bool stopDaemons(Milliseconds limit);
 
-    /// Judges everything recorded so far.
+    /// Everything recorded so far, and what is to be said of it.
+    History history() const;
     HistoryVerdict verdict() const;
 
 private:
@@ -80,6 +91,7 @@
     void recordLimits(bool raised);
     void recordWithdrawals();
     /// Returns the revision that the document became.
+    void requireOperated(const std::vector<std::string>& command);
     std::uint64_t submitDocument(std::size_t daemonIndex);
     HttpCall adminCall(std::size_t daemonIndex, const std::string& path) const;
     void waitForEndpoints();
