Keep golden sessions and check the policies against their targets

Whole sessions of a request plane, inbox and outbox of every tick, are kept below modules/fleet/tests/golden: serving with a retry and a shutdown, orders and claims, an outage of the store, and allotments with a lost write and a lowered limit. The PolicyTargets suite holds the policies to their goals in virtual time: others within 10% of calm in a burst, 95% of a limit usable at one daemon, 90% after an idle daemon died and after dead daemons' parts were reclaimed, and a withdrawn key stopped within 5 s in a cut-off zone and at a daemon that was frozen and woken.

The demand of the live daemons is summed up once for each plan and each dispatch, in place of once for each team and service, and the allotments are planned at most every 10 ms.

--- a/modules/fleet/requests/dispatch/Dispatch.cpp
+++ b/modules/fleet/requests/dispatch/Dispatch.cpp
@@ -24,8 +24,9 @@
 Dispatch::Dispatch(Tick& tick)
     : tick(tick)
     , keyedWorkEnd(FreshnessFence(tick).permissionEnd())
-    , usage(tick)
-    , slots(tick)
+    , demand(tick)
+    , usage(tick, this->demand)
+    , slots(tick, this->demand)
 {
 }
 
--- a/modules/fleet/requests/dispatch/Dispatch.h
+++ b/modules/fleet/requests/dispatch/Dispatch.h
@@ -2,6 +2,7 @@
 
 #include <core/time/Deadline.h>
 #include <fleet/requests/sharing/FleetUsage.h>
+#include <fleet/requests/sharing/LiveDemand.h>
 #include <fleet/requests/sharing/SlotShares.h>
 #include <fleet/requests/tables/Tick.h>
 
@@ -40,6 +41,7 @@
     Tick& tick;
     /// Instant from which keyed work must not be started.
     Instant keyedWorkEnd;
+    LiveDemand demand;
     FleetUsage usage;
     SlotShares slots;
     /// Lines whose front cannot be started in this tick.
--- a/modules/fleet/requests/limits/AllotmentPlan.cpp
+++ b/modules/fleet/requests/limits/AllotmentPlan.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <fleet/requests/limits/EscrowState.h>
 #include <fleet/requests/limits/TeamDemandView.h>
-#include <fleet/requests/sharing/LiveDemand.h>
 #include <fleet/requests/sharing/ProportionalDivision.h>
 #include <fleet/requests/tables/RequestTables.h>
 #include <numeric>
@@ -22,6 +21,7 @@
 AllotmentPlan::AllotmentPlan(Tick& tick)
     : tick(tick)
     , state(tick.tables.escrow)
+    , demand(tick)
 {
 }
 
@@ -51,15 +51,12 @@
     view.waiting = tables.usageOf(team.name).waiting;
     int reach = view.free + view.held;
     std::vector<double> demands;
-    std::size_t own = 0;
-    for (const auto& demand : LiveDemand(this->tick).ofTeam(team.name)) {
-        if (demand.incarnation == tables.self.incarnation)
-            own = demands.size();
-        else {
-            view.peersWaiting += demand.waiting;
-            reach += this->state.book.unitsOf(team.name, demand.incarnation);
-        }
-        demands.push_back(demand.running + demand.waiting);
+    auto own = this->demand.ownPlace();
+    for (const auto& daemon : this->demand.ofTeam(team.name)) {
+        bool isPeer = daemon.incarnation != tables.self.incarnation;
+        view.peersWaiting += isPeer ? daemon.waiting : 0;
+        reach += isPeer ? this->state.book.unitsOf(team.name, daemon.incarnation) : 0;
+        demands.push_back(daemon.running + daemon.waiting);
     }
     double total = std::accumulate(demands.begin(), demands.end(), 0.0);
     view.isShort = total > reach;
--- a/modules/fleet/requests/limits/AllotmentPlan.h
+++ b/modules/fleet/requests/limits/AllotmentPlan.h
@@ -2,6 +2,7 @@
 
 #include <core/text/Identifier.h>
 #include <fleet/requests/limits/AllotmentBook.h>
+#include <fleet/requests/sharing/LiveDemand.h>
 #include <fleet/requests/tables/Tick.h>
 
 namespace Greengage {
@@ -29,6 +30,7 @@
 
     Tick& tick;
     EscrowState& state;
+    LiveDemand demand;
 };
 
 } // namespace Greengage
--- a/modules/fleet/requests/limits/EscrowState.h
+++ b/modules/fleet/requests/limits/EscrowState.h
@@ -37,6 +37,7 @@
     bool isMember = false;
     int failedWrites = 0;
     Deadline nextWriteAt;
+    Deadline nextPlanAt;
     std::map<TeamId, TeamEscrow> teams;
     std::map<IncarnationId, DeadIncarnation> dead;
     /// When a daemon that shuts down stops waiting for its allotments to be handed back.
--- a/modules/fleet/requests/limits/LimitEscrow.cpp
+++ b/modules/fleet/requests/limits/LimitEscrow.cpp
@@ -17,6 +17,7 @@
 /// others may reclaim them.
 constexpr Milliseconds contactGrace { 2000 };
 constexpr Milliseconds writeInterval { 50 };
+constexpr Milliseconds planInterval { 10 };
 constexpr Milliseconds firstRetryDelay { 200 };
 constexpr Milliseconds longestRetryDelay { 2000 };
 constexpr Milliseconds handBackTimeout { 3000 };
@@ -125,7 +126,7 @@
     this->noteShutdown();
     DeadAllotments(this->tick).askEndpoints();
     bool mayWrite = this->state.readable && !this->state.writeUnderWay && this->tick.tables.document
-        && this->state.nextWriteAt.hasPassed(this->tick.now);
+        && this->state.nextWriteAt.hasPassed(this->tick.now) && this->state.nextPlanAt.hasPassed(this->tick.now);
     if (mayWrite)
         this->write();
 }
@@ -133,6 +134,7 @@
 void LimitEscrow::write()
 {
     const auto& self = this->tick.tables.self.incarnation;
+    this->state.nextPlanAt = Deadline::after(this->tick.now, planInterval);
     auto draft = AllotmentPlan(this->tick).draft();
     DeadAllotments(this->tick).reclaim(draft);
     bool mustWrite = this->state.isVoid || this->state.unsettled;
--- a/modules/fleet/requests/sharing/FleetUsage.cpp
+++ b/modules/fleet/requests/sharing/FleetUsage.cpp
@@ -5,20 +5,10 @@
 
 namespace Greengage {
 
-FleetUsage::FleetUsage(Tick& tick)
+FleetUsage::FleetUsage(const Tick& tick, const LiveDemand& demand)
     : tick(tick)
+    , running(demand.running())
 {
-    auto add = [&](const QueueId& name, const TeamId& team, int count) {
-        const Queue* queue = tick.tables.findQueue(name);
-        if (queue && count > 0)
-            this->running[ServiceTeam { queue->service, team }] += count;
-    };
-    for (const auto& [key, line] : tick.tables.lines)
-        add(key.queue, key.team, line.running);
-    for (const auto* peer : LiveDemand(tick).livePeers()) {
-        for (const auto& demand : peer->state.demand)
-            add(demand.queue, demand.team, demand.running);
-    }
 }
 
 void FleetUsage::addStart(const ServiceTeam& key) { this->running[key] += 1; }
--- a/modules/fleet/requests/sharing/FleetUsage.h
+++ b/modules/fleet/requests/sharing/FleetUsage.h
@@ -7,11 +7,13 @@
 
 namespace Greengage {
 
+class LiveDemand;
+
 /// How much of each service every team uses in the whole fleet, as far as this daemon knows.
 class FleetUsage {
 public:
     /// Adds up the lines of this daemon and the demand that live peers have told of.
-    explicit FleetUsage(Tick&);
+    FleetUsage(const Tick&, const LiveDemand&);
 
     /// Notes that one more request has been started here.
     void addStart(const ServiceTeam&);
@@ -19,7 +21,7 @@
     double loadOf(const ServiceTeam&) const;
 
 private:
-    Tick& tick;
+    const Tick& tick;
     std::map<ServiceTeam, int> running;
 };
 
--- a/modules/fleet/requests/sharing/LiveDemand.cpp
+++ b/modules/fleet/requests/sharing/LiveDemand.cpp
@@ -10,62 +10,76 @@
 /// How long a peer's demand counts after it has spoken.
 constexpr Milliseconds demandRetention { 3000 };
 
+bool isLive(const PeerRow& peer, Instant now)
+{
+    bool heard = peer.spokenAt != Instant::min() && now - peer.spokenAt < demandRetention;
+    return heard && !peer.state.shuttingDown;
+}
+
 } // namespace
 
-LiveDemand::LiveDemand(Tick& tick)
-    : tick(tick)
+LiveDemand::LiveDemand(const Tick& tick)
 {
+    const auto& tables = tick.tables;
+    std::vector<const PeerRow*> peers;
+    this->incarnations.push_back(tables.self.incarnation);
+    for (const auto& [incarnation, peer] : tables.peers) {
+        if (!isLive(peer, tick.now))
+            continue;
+        peers.push_back(&peer);
+        this->incarnations.push_back(incarnation);
+    }
+    std::sort(this->incarnations.begin(), this->incarnations.end());
+    auto placeOf = [&](const IncarnationId& incarnation) {
+        auto found = std::lower_bound(this->incarnations.begin(), this->incarnations.end(), incarnation);
+        return static_cast<std::size_t>(found - this->incarnations.begin());
+    };
+    this->own = placeOf(tables.self.incarnation);
+    for (const auto& [key, line] : tables.lines)
+        this->add(tick, this->own, key.queue, key.team, line.running, line.waiting);
+    for (const auto* peer : peers) {
+        for (const auto& line : peer->state.demand)
+            this->add(tick, placeOf(peer->state.incarnation), line.queue, line.team, line.running, line.waiting);
+    }
 }
 
-std::vector<const PeerRow*> LiveDemand::livePeers() const
+std::vector<DaemonDemand> LiveDemand::emptyList() const
 {
-    std::vector<const PeerRow*> live;
-    for (const auto& [incarnation, peer] : this->tick.tables.peers) {
-        bool heard = peer.spokenAt != Instant::min() && this->tick.now - peer.spokenAt < demandRetention;
-        if (heard && !peer.state.shuttingDown)
-            live.push_back(&peer);
-    }
-    return live;
+    std::vector<DaemonDemand> list;
+    for (const auto& incarnation : this->incarnations)
+        list.push_back(DaemonDemand { incarnation });
+    return list;
 }
 
-template <typename Wanted> std::vector<DaemonDemand> LiveDemand::collect(const Wanted& wanted) const
+void LiveDemand::add(
+    const Tick& tick, std::size_t place, const QueueId& name, const TeamId& team, int running, int waiting)
 {
-    const auto& tables = this->tick.tables;
-    std::vector<DaemonDemand> demands;
-    DaemonDemand own { tables.self.incarnation };
-    for (const auto& [key, line] : tables.lines) {
-        if (!wanted(key.queue, key.team))
-            continue;
-        own.running += line.running;
-        own.waiting += line.waiting;
-    }
-    demands.push_back(own);
-    for (const auto* peer : this->livePeers()) {
-        DaemonDemand demand { peer->state.incarnation };
-        for (const auto& line : peer->state.demand) {
-            if (!wanted(line.queue, line.team))
-                continue;
-            demand.running += line.running;
-            demand.waiting += line.waiting;
-        }
-        demands.push_back(demand);
-    }
-    std::sort(demands.begin(), demands.end(),
-        [](const DaemonDemand& first, const DaemonDemand& second) { return first.incarnation < second.incarnation; });
-    return demands;
+    auto addTo = [&](std::vector<DaemonDemand>& list) {
+        if (list.empty())
+            list = this->emptyList();
+        list[place].running += running;
+        list[place].waiting += waiting;
+    };
+    if (running == 0 && waiting == 0)
+        return;
+    addTo(this->byTeam[team]);
+    const Queue* queue = tick.tables.findQueue(name);
+    if (!queue)
+        return;
+    addTo(this->byService[queue->service]);
+    this->runningTotals[ServiceTeam { queue->service, team }] += running;
 }
 
 std::vector<DaemonDemand> LiveDemand::ofTeam(const TeamId& team) const
 {
-    return this->collect([&](const QueueId&, const TeamId& candidate) { return candidate == team; });
+    auto found = this->byTeam.find(team);
+    return found == this->byTeam.end() ? this->emptyList() : found->second;
 }
 
 std::vector<DaemonDemand> LiveDemand::ofService(const ServiceId& service) const
 {
-    return this->collect([&](const QueueId& name, const TeamId&) {
-        const Queue* queue = this->tick.tables.findQueue(name);
-        return queue && queue->service == service;
-    });
+    auto found = this->byService.find(service);
+    return found == this->byService.end() ? this->emptyList() : found->second;
 }
 
 } // namespace Greengage
--- a/modules/fleet/requests/sharing/LiveDemand.h
+++ b/modules/fleet/requests/sharing/LiveDemand.h
@@ -2,27 +2,36 @@
 
 #include <core/text/Identifier.h>
 #include <fleet/requests/sharing/DaemonDemand.h>
+#include <fleet/requests/sharing/ServiceTeam.h>
 #include <fleet/requests/tables/Tick.h>
 
+#include <map>
 #include <vector>
 
 namespace Greengage {
 
-struct PeerRow;
-
-/// The demand of this daemon and of the peers that have spoken of late, in the order of incarnations.
+/// The demand of this daemon and of the peers that have spoken of late, summed up in one pass over their lines. Every
+/// list has one entry for each of these daemons, in the order of incarnations.
 class LiveDemand {
 public:
-    explicit LiveDemand(Tick&);
+    explicit LiveDemand(const Tick&);
 
-    std::vector<const PeerRow*> livePeers() const;
     std::vector<DaemonDemand> ofTeam(const TeamId&) const;
     std::vector<DaemonDemand> ofService(const ServiceId&) const;
+    /// Running requests of all daemons together, for each team and service that has any.
+    const std::map<ServiceTeam, int>& running() const { return this->runningTotals; }
+    /// This daemon's place in the lists.
+    std::size_t ownPlace() const { return this->own; }
 
 private:
-    template <typename Wanted> std::vector<DaemonDemand> collect(const Wanted&) const;
-
-    Tick& tick;
+    void add(const Tick&, std::size_t place, const QueueId&, const TeamId&, int running, int waiting);
+    std::vector<DaemonDemand> emptyList() const;
+
+    std::vector<IncarnationId> incarnations;
+    std::size_t own = 0;
+    std::map<TeamId, std::vector<DaemonDemand>> byTeam;
+    std::map<ServiceId, std::vector<DaemonDemand>> byService;
+    std::map<ServiceTeam, int> runningTotals;
 };
 
 } // namespace Greengage
--- a/modules/fleet/requests/sharing/SlotShares.cpp
+++ b/modules/fleet/requests/sharing/SlotShares.cpp
@@ -8,8 +8,9 @@
 
 namespace Greengage {
 
-SlotShares::SlotShares(Tick& tick)
+SlotShares::SlotShares(const Tick& tick, const LiveDemand& demand)
     : tick(tick)
+    , demand(demand)
 {
 }
 
@@ -45,12 +46,9 @@
     }
     auto& mine = this->shares[service];
     std::vector<int> demands;
-    std::size_t own = 0;
-    for (const auto& demand : LiveDemand(this->tick).ofService(service)) {
-        if (demand.incarnation == tables.self.incarnation)
-            own = demands.size();
-        demands.push_back(demand.running + demand.waiting);
-    }
+    for (const auto& daemon : this->demand.ofService(service))
+        demands.push_back(daemon.running + daemon.waiting);
+    auto own = this->demand.ownPlace();
     if (endpoints.empty())
         return;
     auto parts = divide(slotsPerEndpoint * static_cast<int>(endpoints.size()), demands);
--- a/modules/fleet/requests/sharing/SlotShares.h
+++ b/modules/fleet/requests/sharing/SlotShares.h
@@ -8,6 +8,8 @@
 
 namespace Greengage {
 
+class LiveDemand;
+
 /// Divides the slots of a service's endpoints between the live daemons by their demand. Daemons that know the same
 /// demand compute the same division, so that together they use no more than an endpoint's slots. While there are more
 /// slots than demand, the rest is divided evenly, so that new work can start at once everywhere.
@@ -15,7 +17,7 @@
 public:
     static constexpr int slotsPerEndpoint = 8;
 
-    explicit SlotShares(Tick&);
+    SlotShares(const Tick&, const LiveDemand&);
 
     /// How many requests this daemon may hold at the endpoint, which stands in the service.
     int slotsAt(const VmId&, const ServiceId&);
@@ -26,7 +28,8 @@
 private:
     void divideService(const ServiceId&);
 
-    Tick& tick;
+    const Tick& tick;
+    const LiveDemand& demand;
     std::map<ServiceId, std::map<VmId, int>> shares;
 };
 
--- a/modules/fleet/tests/PlaneFixture.h
+++ b/modules/fleet/tests/PlaneFixture.h
@@ -5,6 +5,7 @@
 #include <core/time/ManualClock.h>
 #include <fleet/requests/RequestPlane.h>
 
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -83,7 +84,9 @@
 
     std::vector<RequestOutput> tick(std::vector<RequestInput> inputs)
     {
-        auto outputs = this->plane.tick(this->clock.current(), std::move(inputs));
+        auto outputs = this->plane.tick(this->clock.current(), inputs);
+        if (this->onTick)
+            this->onTick(inputs, outputs);
         this->answerWrites(outputs);
         return outputs;
     }
@@ -96,6 +99,8 @@
                 break;
             AllotmentsRead read { update.expectedVersion + 1, update.value, true };
             auto more = this->plane.tick(this->clock.current(), { read });
+            if (this->onTick)
+                this->onTick({ read }, more);
             outputs.insert(outputs.end(), more.begin(), more.end());
         }
     }
@@ -133,6 +138,8 @@
     /// Whether writes of the allotments succeed at once; otherwise the test answers them.
     bool storeAnswers = true;
     int requests = 0;
+    /// Called with the inbox and the outbox of each tick.
+    std::function<void(const std::vector<RequestInput>&, const std::vector<RequestOutput>&)> onTick;
 };
 
 } // namespace Greengage
--- /dev/null
+++ b/modules/fleet/tests/SessionTranscript.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <core/time/Instant.h>
+#include <fleet/requests/RequestInput.h>
+#include <fleet/requests/RequestOutput.h>
+
+#include <string>
+#include <vector>
+
+namespace Greengage {
+
+/// Writes a session of a request plane as text: each tick's instant, its inbox (">") and its outbox ("<").
+class SessionTranscript {
+public:
+    void add(Instant now, const std::vector<RequestInput>&, const std::vector<RequestOutput>&);
+    const std::string& text() const { return this->lines; }
+
+private:
+    std::string lines;
+};
+
+} // namespace Greengage
--- a/modules/fleet/tests/SharingTests.cpp
+++ b/modules/fleet/tests/SharingTests.cpp
@@ -1,4 +1,5 @@
 #include <boost/test/unit_test.hpp>
+#include <fleet/requests/sharing/LiveDemand.h>
 #include <fleet/requests/sharing/SlotShares.h>
 #include <fleet/requests/tables/RequestTables.h>
 #include <fleet/tests/PlaneFixture.h>
@@ -54,7 +55,8 @@
             auto tables = makeTables(own, demands, endpoints);
             std::vector<RequestOutput> outbox;
             Tick tick { tables, now, outbox };
-            SlotShares shares(tick);
+            LiveDemand demand(tick);
+            SlotShares shares(tick, demand);
             for (const auto& [id, endpoint] : tables.endpoints) {
                 used[id] += shares.slotsAt(id, endpoint.service);
                 total += shares.slotsAt(id, endpoint.service);
--- a/tests/measure/requests/SampleDocument.cpp
+++ b/modules/fleet/tests/simulation/SampleDocument.cpp
@@ -1,4 +1,4 @@
-#include <tests/measure/requests/SampleDocument.h>
+#include <fleet/tests/simulation/SampleDocument.h>
 
 #include <core/text/Digest.h>
 
--- a/tests/measure/requests/FreshnessMeasurement.cpp
+++ b/tests/measure/requests/FreshnessMeasurement.cpp
@@ -1,9 +1,9 @@
 #include <algorithm>
 #include <cstdio>
+#include <fleet/tests/simulation/SampleDocument.h>
 #include <fleet/tests/simulation/SimulatedFleet.h>
 #include <functional>
 #include <tests/measure/requests/Measurements.h>
-#include <tests/measure/requests/SampleDocument.h>
 
 namespace Greengage {
 
@@ -90,7 +90,7 @@
 
 void measureFreshness()
 {
-    std::printf("\nFreshness: how long after its withdrawal work under a key was still begun; %d seeds\n", seeds);
+    std::printf("\nFreshness: how long after its withdrawal work under a key was still begun; seeds 1 to %d\n", seeds);
     std::puts("| state | longest, seconds |");
     std::puts("| --- | --- |");
     measureWithdrawal("all in contact", [](SimulatedFleet&) {});
--- a/tests/measure/requests/LimitMeasurement.cpp
+++ b/tests/measure/requests/LimitMeasurement.cpp
@@ -1,65 +1,12 @@
 #include <cstdio>
-#include <fleet/tests/simulation/SimulatedFleet.h>
+#include <fleet/tests/simulation/LimitRun.h>
 #include <tests/measure/requests/Measurements.h>
-#include <tests/measure/requests/SampleDocument.h>
 
 namespace Greengage {
 
 namespace {
 
-constexpr int seeds = 5;
-constexpr int endpointCount = 20;
-
-/// Part of the limit in use, in percent, while the given daemons are offered more than the limit.
-class LimitRun {
-public:
-    LimitRun(LimitSplit split, int limit, std::uint64_t seed)
-        : fleet(makeOptions(split, seed))
-        , limit(limit)
-    {
-        this->fleet.accept(makeSampleDocument(1, 1, limit, endpointCount));
-        for (std::size_t daemon = 0; daemon < this->fleet.daemons.size(); ++daemon)
-            this->fleet.start(daemon);
-        this->fleet.run(Seconds(8));
-    }
-
-    static FleetOptions makeOptions(LimitSplit split, std::uint64_t seed)
-    {
-        FleetOptions options;
-        options.seed = seed;
-        options.endpointsPerService = endpointCount;
-        options.policy.limits = split;
-        return options;
-    }
-
-    /// Offers twice the limit to the first `daemons` daemons that live.
-    double usedPercent(int daemons, int seconds)
-    {
-        double sum = 0;
-        int samples = seconds * 100;
-        double perSample = 2.0 * this->limit / 0.2 / 100;
-        double credit = 0;
-        for (int sample = 0; sample < samples; ++sample) {
-            for (credit += perSample; credit >= 1; credit -= 1)
-                this->submit(daemons);
-            this->fleet.run(Milliseconds(10));
-            sum += this->fleet.runningOf("t0");
-        }
-        return 100.0 * sum / samples / this->limit;
-    }
-
-    void submit(int daemons)
-    {
-        auto daemon = static_cast<std::size_t>(this->fleet.pick(daemons));
-        if (!this->fleet.daemons[daemon].alive)
-            daemon = (daemon + 1) % this->fleet.daemons.size();
-        this->fleet.submit(daemon, "q0", "k0", Seconds(2), Milliseconds(100 + this->fleet.pick(200)));
-    }
-
-    SimulatedFleet fleet;
-    int limit;
-};
-
+constexpr int seeds = 10;
 struct LimitRow {
     double one = 0;
     double all = 0;
@@ -97,7 +44,7 @@
 
 void measureLimits()
 {
-    std::printf("\nLimits: part of a team's limit in use under twice its load, in percent; %d seeds\n", seeds);
+    std::printf("\nLimits: part of a team's limit in use under twice its load, in percent; seeds 1 to %d\n", seeds);
     std::puts("| split | limit | load at one daemon | at all | at all, 1 s to 11 s after one died | 22 s to 27 s after "
               "| load at one, 1 s to 11 s after an idle one died | writes a second, at all |");
     std::puts("| --- | --- | --- | --- | --- | --- | --- | --- |");
--- a/tests/measure/requests/RetryMeasurement.cpp
+++ b/tests/measure/requests/RetryMeasurement.cpp
@@ -1,7 +1,7 @@
 #include <cstdio>
+#include <fleet/tests/simulation/SampleDocument.h>
 #include <fleet/tests/simulation/SimulatedFleet.h>
 #include <tests/measure/requests/Measurements.h>
-#include <tests/measure/requests/SampleDocument.h>
 
 namespace Greengage {
 
