Read a peer's state without sending one's own, in a closer form

Cause: each call carried the caller's state, which the other side ignored since its ages cannot be relied on, and each entry of demand repeated the names of its members: 13,961 bytes a state at 200 busy teams, both ways, twice a second. Ruled out: sending only changes (with all teams busy nearly every count changes between two calls); a binary codec (another library and another decoder to fuzz, for what grouping by name gives). Change: readState has no parameters; demand is grouped by queue and team, sightings by availability zone.

--- a/modules/daemon/Daemon.cpp
+++ b/modules/daemon/Daemon.cpp
@@ -109,7 +109,7 @@
 MeshServer::Handlers Daemon::meshHandlers()
 {
     MeshServer::Handlers handlers;
-    handlers.exchangeState = [this](const PeerState&) { return this->plane.describe(BootClock::now()); };
+    handlers.describe = [this] { return this->plane.describe(BootClock::now()); };
     handlers.currentDocument = [this]() -> const DocumentRecord* {
         const auto& record = this->documents.known().record;
         return record ? &*record : nullptr;
@@ -120,7 +120,6 @@
 PeerExchange::Handlers Daemon::peerHandlers()
 {
     PeerExchange::Handlers handlers;
-    handlers.describe = [this] { return this->plane.describe(BootClock::now()); };
     handlers.heard = [this](PeerState state, Instant askedAt) {
         this->peers.take(state, askedAt);
         this->push(PeerHeard { std::move(state), askedAt });
--- a/modules/daemon/peers/PeerExchange.cpp
+++ b/modules/daemon/peers/PeerExchange.cpp
@@ -45,17 +45,14 @@
 void PeerExchange::round()
 {
     this->timer.schedule(exchangeInterval);
-    if (this->clients.empty())
-        return;
-    PeerState own = this->handlers.describe();
     for (auto& [address, client] : this->clients)
-        this->exchange(*client, own);
+        this->exchange(*client);
 }
 
-void PeerExchange::exchange(MeshClient& client, const PeerState& own)
+void PeerExchange::exchange(MeshClient& client)
 {
     Instant askedAt = BootClock::now();
-    client.exchangeState(own, [this, &client, askedAt](Result<PeerState, MeshError> answer) {
+    client.readState([this, &client, askedAt](Result<PeerState, MeshError> answer) {
         if (!answer.has_value())
             return;
         bool isNewer = answer.value().appliedRevision > this->handlers.appliedRevision();
--- a/modules/daemon/peers/PeerExchange.h
+++ b/modules/daemon/peers/PeerExchange.h
@@ -22,7 +22,6 @@
 class PeerExchange {
 public:
     struct Handlers {
-        std::function<PeerState()> describe;
         /// A peer has answered; the exchange began at `askedAt`.
         std::function<void(PeerState, Instant askedAt)> heard;
         std::function<std::uint64_t()> appliedRevision;
@@ -49,7 +48,7 @@
     };
 
     void round();
-    void exchange(MeshClient&, const PeerState& own);
+    void exchange(MeshClient&);
     void fetch(MeshClient&);
 
     event_base& base;
--- a/modules/mesh/MeshClient.cpp
+++ b/modules/mesh/MeshClient.cpp
@@ -36,11 +36,10 @@
 
 MeshClient::~MeshClient() = default;
 
-void MeshClient::exchangeState(const PeerState& own, Callback<PeerState> callback)
+void MeshClient::readState(Callback<PeerState> callback)
 {
     Json::Value parameters(Json::objectValue);
-    parameters["state"] = PeerStateCodec::toJson(own);
-    this->call(MethodNames::exchangeState, std::move(parameters), [callback = std::move(callback)](const Reply& reply) {
+    this->call(MethodNames::readState, std::move(parameters), [callback = std::move(callback)](const Reply& reply) {
         if (reply.has_value())
             callback(PeerStateCodec::fromJson(reply.value()));
         else
--- a/modules/mesh/MeshClient.h
+++ b/modules/mesh/MeshClient.h
@@ -35,7 +35,9 @@
 
     template <typename Value> using Callback = std::function<void(Result<Value, MeshError>)>;
 
-    void exchangeState(const PeerState& own, Callback<PeerState>);
+    /// Reads the peer's state. The caller's own is not sent along: how long such a message was under way could not be
+    /// known, so its ages could not be relied on, and the peer reads it by a call of its own.
+    void readState(Callback<PeerState>);
 
     /// Fetches the peer's document if its revision is `revision` or newer.
     void fetchDocument(std::uint64_t revision, Callback<DocumentRecord>);
--- a/modules/mesh/MeshServer.cpp
+++ b/modules/mesh/MeshServer.cpp
@@ -20,13 +20,10 @@
     {
     }
 
-    void exchangeState(const Json::Value& parameters, Json::Value& result)
+    void readState(const Json::Value& parameters, Json::Value& result)
     {
-        auto peer = PeerStateCodec::fromJson(parameters["state"]);
-        if (!peer.has_value())
-            refuse(parameters, peer.error().detail);
         result["call"] = parameters["call"];
-        result["value"] = PeerStateCodec::toJson(this->handlers.exchangeState(peer.value()));
+        result["value"] = PeerStateCodec::toJson(this->handlers.describe());
     }
 
     void fetchDocument(const Json::Value& parameters, Json::Value& result)
@@ -55,9 +52,9 @@
         , handlers(std::move(handlers))
     {
         using jsonrpc::Procedure;
-        this->bindAndAddMethod(Procedure(MethodNames::exchangeState, jsonrpc::PARAMS_BY_NAME, jsonrpc::JSON_OBJECT,
-                                   "call", jsonrpc::JSON_INTEGER, "state", jsonrpc::JSON_OBJECT, nullptr),
-            &Implementation::exchangeState);
+        this->bindAndAddMethod(Procedure(MethodNames::readState, jsonrpc::PARAMS_BY_NAME, jsonrpc::JSON_OBJECT, "call",
+                                   jsonrpc::JSON_INTEGER, nullptr),
+            &Implementation::readState);
         this->bindAndAddMethod(Procedure(MethodNames::fetchDocument, jsonrpc::PARAMS_BY_NAME, jsonrpc::JSON_OBJECT,
                                    "call", jsonrpc::JSON_INTEGER, "revision", jsonrpc::JSON_INTEGER, nullptr),
             &Implementation::fetchDocument);
--- a/modules/mesh/MeshServer.h
+++ b/modules/mesh/MeshServer.h
@@ -19,9 +19,8 @@
 class MeshServer {
 public:
     struct Handlers {
-        /// A peer tells its state and asks for ours. How long the message was under way is not known, so its ages must
-        /// not be relied on.
-        std::function<PeerState(const PeerState& peer)> exchangeState;
+        /// A peer asks for the state of this daemon.
+        std::function<PeerState()> describe;
         /// The record of the document in force here, or null if there is none.
         std::function<const DocumentRecord*()> currentDocument;
     };
--- a/modules/mesh/codec/PeerStateCodec.cpp
+++ b/modules/mesh/codec/PeerStateCodec.cpp
@@ -16,32 +16,44 @@
 
 Json::Value toJson(Milliseconds age) { return age == Milliseconds::max() ? never : Json::Int64(age.count()); }
 
-Json::Value toJson(const TeamDemand& demand)
+/// Demand by queue and team, {"<queue>":{"<team>":[running, waiting]}}, so that each name stands once.
+Json::Value toJson(const std::vector<TeamDemand>& entries)
 {
-    Json::Value value(Json::objectValue);
-    value["queue"] = demand.queue.string();
-    value["team"] = demand.team.string();
-    value["running"] = demand.running;
-    value["waiting"] = demand.waiting;
-    return value;
+    Json::Value queues(Json::objectValue);
+    for (const TeamDemand& entry : entries) {
+        Json::Value counts(Json::arrayValue);
+        counts.append(entry.running);
+        counts.append(entry.waiting);
+        queues[entry.queue.string()][entry.team.string()] = counts;
+    }
+    return queues;
 }
 
-Json::Value toJson(const PeerSighting& sighting)
+/// Sightings by availability zone and incarnation, {"<zone>":{"<incarnation>":age in ms}}.
+Json::Value toJson(const std::vector<PeerSighting>& entries)
 {
-    Json::Value value(Json::objectValue);
-    value["incarnation"] = sighting.incarnation.string();
-    value["zone"] = sighting.zone.string();
-    value["ageMs"] = toJson(sighting.age);
-    return value;
+    Json::Value zones(Json::objectValue);
+    for (const PeerSighting& entry : entries)
+        zones[entry.zone.string()][entry.incarnation.string()] = toJson(entry.age);
+    return zones;
+}
+
+bool isCount(const Json::Value& value) { return value.isInt() && value.asInt() >= 0; }
+
+bool isAge(const Json::Value& value) { return value.isInt64() && value.asInt64() >= never; }
+
+Milliseconds ageOf(const Json::Value& value)
+{
+    return value.asInt64() == never ? Milliseconds::max() : Milliseconds(value.asInt64());
 }
 
 /// Reads members and remembers the first that is missing or of another type, so that the caller tests once.
 class MemberReader {
 public:
-    explicit MemberReader(const Json::Value& object)
-        : object(object)
+    explicit MemberReader(const Json::Value& source)
+        : source(source)
     {
-        if (!object.isObject())
+        if (!source.isObject())
             this->problem = "a value is not an object";
     }
 
@@ -49,7 +61,7 @@
     {
         if (!this->has(name, [](const Json::Value& value) { return value.isString(); }))
             return {};
-        std::string value = this->object[name].asString();
+        std::string value = this->source[name].asString();
         if (value.size() > maxNameBytes)
             this->problem = std::string(name) + " is too long";
         return value;
@@ -58,35 +70,31 @@
     std::uint64_t number(const char* name)
     {
         return this->has(name, [](const Json::Value& value) { return value.isUInt64(); })
-            ? this->object[name].asUInt64()
+            ? this->source[name].asUInt64()
             : 0;
     }
 
-    int count(const char* name)
+    bool flag(const char* name)
     {
-        return this->has(name, [](const Json::Value& value) { return value.isInt() && value.asInt() >= 0; })
-            ? this->object[name].asInt()
-            : 0;
+        return this->has(name, [](const Json::Value& value) { return value.isBool(); }) && this->source[name].asBool();
     }
 
-    bool flag(const char* name)
+    Milliseconds age(const char* name)
     {
-        return this->has(name, [](const Json::Value& value) { return value.isBool(); }) && this->object[name].asBool();
+        return this->has(name, isAge) ? ageOf(this->source[name]) : Milliseconds::max();
     }
 
-    Milliseconds age(const char* name)
+    const Json::Value& object(const char* name)
     {
-        if (!this->has(name, [](const Json::Value& value) { return value.isInt64() && value.asInt64() >= never; }))
-            return Milliseconds::max();
-        Json::Int64 count = this->object[name].asInt64();
-        return count == never ? Milliseconds::max() : Milliseconds(count);
+        static const Json::Value empty(Json::objectValue);
+        return this->has(name, [](const Json::Value& value) { return value.isObject(); }) ? this->source[name] : empty;
     }
 
     const Json::Value& list(const char* name, Json::ArrayIndex longest)
     {
         static const Json::Value empty(Json::arrayValue);
         auto fits = [longest](const Json::Value& value) { return value.isArray() && value.size() <= longest; };
-        return this->has(name, fits) ? this->object[name] : empty;
+        return this->has(name, fits) ? this->source[name] : empty;
     }
 
     std::string problem;
@@ -96,55 +104,67 @@
     {
         if (!this->problem.empty())
             return false;
-        if (this->object.isMember(name) && check(this->object[name]))
+        if (this->source.isMember(name) && check(this->source[name]))
             return true;
         this->problem = std::string(name) + " is missing, of another type or out of range";
         return false;
     }
 
-    const Json::Value& object;
+    const Json::Value& source;
 };
 
-Result<TeamDemand, MeshError> demandFromJson(const Json::Value& value)
+MeshError malformed(const char* detail) { return { MeshErrorCode::Malformed, detail }; }
+
+/// Calls `take(outer name, inner name, value)` for each member of an object of objects. False if a value in between is
+/// no object, a name is too long, there are more than `longest` members, or `take` refuses one.
+template <typename Take> bool readNested(const Json::Value& outer, std::size_t longest, const Take& take)
 {
-    MemberReader reader(value);
-    TeamDemand demand;
-    demand.queue = QueueId(reader.text("queue"));
-    demand.team = TeamId(reader.text("team"));
-    demand.running = reader.count("running");
-    demand.waiting = reader.count("waiting");
-    if (!reader.problem.empty())
-        return MeshError { MeshErrorCode::Malformed, reader.problem };
-    return demand;
+    std::size_t count = 0;
+    for (const std::string& outerName : outer.getMemberNames()) {
+        const Json::Value& inner = outer[outerName];
+        if (!inner.isObject() || outerName.size() > maxNameBytes)
+            return false;
+        for (const std::string& innerName : inner.getMemberNames()) {
+            if (++count > longest || innerName.size() > maxNameBytes || !take(outerName, innerName, inner[innerName]))
+                return false;
+        }
+    }
+    return true;
 }
 
-Result<PeerSighting, MeshError> sightingFromJson(const Json::Value& value)
+bool readDemand(const Json::Value& queues, std::vector<TeamDemand>& demand)
 {
-    MemberReader reader(value);
-    PeerSighting sighting;
-    sighting.incarnation = IncarnationId(reader.text("incarnation"));
-    sighting.zone = ZoneId(reader.text("zone"));
-    sighting.age = reader.age("ageMs");
-    if (!reader.problem.empty())
-        return MeshError { MeshErrorCode::Malformed, reader.problem };
-    return sighting;
+    return readNested(
+        queues, maxDemandEntries, [&](const std::string& queue, const std::string& team, const Json::Value& counts) {
+            if (!counts.isArray() || counts.size() != 2 || !isCount(counts[0]) || !isCount(counts[1]))
+                return false;
+            demand.push_back({ QueueId(queue), TeamId(team), counts[0].asInt(), counts[1].asInt() });
+            return true;
+        });
+}
+
+bool readSightings(const Json::Value& zones, std::vector<PeerSighting>& sightings)
+{
+    return readNested(
+        zones, maxSightings, [&](const std::string& zone, const std::string& incarnation, const Json::Value& age) {
+            if (!isAge(age))
+                return false;
+            sightings.push_back({ IncarnationId(incarnation), ZoneId(zone), ageOf(age) });
+            return true;
+        });
 }
 
 Result<void, MeshError> readLists(MemberReader& reader, PeerState& state)
 {
     for (const Json::Value& item : reader.list("busyDrainingVms", maxDrainingVms)) {
         if (!item.isString())
-            return MeshError { MeshErrorCode::Malformed, "busyDrainingVms holds something else than names" };
+            return malformed("busyDrainingVms holds something else than names");
         state.busyDrainingVms.emplace_back(item.asString());
     }
-    for (const Json::Value& item : reader.list("demand", maxDemandEntries)) {
-        BOOST_OUTCOME_TRY(demand, demandFromJson(item));
-        state.demand.push_back(demand);
-    }
-    for (const Json::Value& item : reader.list("sightings", maxSightings)) {
-        BOOST_OUTCOME_TRY(sighting, sightingFromJson(item));
-        state.sightings.push_back(sighting);
-    }
+    if (!readDemand(reader.object("demand"), state.demand))
+        return malformed("demand is not made of pairs of counts by queue and team");
+    if (!readSightings(reader.object("sightings"), state.sightings))
+        return malformed("sightings is not made of ages by availability zone and incarnation");
     return success();
 }
 
@@ -164,12 +184,8 @@
     value["busyDrainingVms"] = Json::Value(Json::arrayValue);
     for (const VmId& vm : state.busyDrainingVms)
         value["busyDrainingVms"].append(vm.string());
-    value["demand"] = Json::Value(Json::arrayValue);
-    for (const TeamDemand& demand : state.demand)
-        value["demand"].append(Greengage::toJson(demand));
-    value["sightings"] = Json::Value(Json::arrayValue);
-    for (const PeerSighting& sighting : state.sightings)
-        value["sightings"].append(Greengage::toJson(sighting));
+    value["demand"] = Greengage::toJson(state.demand);
+    value["sightings"] = Greengage::toJson(state.sightings);
     return value;
 }
 
