Fuzz everything that reads text from outside, and mend what it found

Cause: the document and settings parsers and the decoders of the network are to stand any input.

Found and mended, each seen failing first: - a null source of zero bytes passed to memcpy for a refused line of a document or of settings; - deeply nested JSON in an answer of the store, in the ledger or in the allotments ended the daemon by an exception that jsoncpp throws; these decoders now bound the nesting, two of them by using parseJson; - the same in one line on the mesh port, found by hand beside the fuzzer: the daemon ended with status 134. The line now ends only its connection (lineThatCannotBeParsedEndsOnlyItsConnection); - a VM id that is not UTF-8 in the ledger came back changed after encoding; parseJson now refuses text that is not UTF-8.

A document may no longer hold characters beyond U+FFFF.

--- a/modules/config/acceptance/DocumentAcceptance.cpp
+++ b/modules/config/acceptance/DocumentAcceptance.cpp
@@ -2,6 +2,7 @@
 
 #include <config/document/DocumentCodec.h>
 #include <config/document/DocumentParser.h>
+#include <config/json/Utf8.h>
 #include <config/merge/SectionMerge.h>
 
 #include <algorithm>
@@ -25,7 +26,8 @@
 bool isAuthor(std::string_view text)
 {
     auto isControl = [](unsigned char character) { return character < ' ' || character == 0x7f; };
-    return !text.empty() && text.size() <= DocumentAcceptance::maxIdBytes && std::ranges::none_of(text, isControl);
+    return !text.empty() && text.size() <= DocumentAcceptance::maxIdBytes && std::ranges::none_of(text, isControl)
+        && isPlainUtf8(text);
 }
 
 ConfigErrors checkSubmission(const DocumentRecord& current, const DocumentSubmission& submission)
--- a/modules/config/ini/IniParser.cpp
+++ b/modules/config/ini/IniParser.cpp
@@ -1,11 +1,11 @@
 #include <config/ini/IniParser.h>
 
 #include <config/ini/IniLine.h>
+#include <config/json/Utf8.h>
 
 #include <algorithm>
 #include <cstring>
 #include <ini.h>
-#include <locale>
 #include <utility>
 
 namespace Greengage {
@@ -18,24 +18,6 @@
     return (byte < ' ' && byte != '\t' && byte != '\r') || byte == 0x7f;
 }
 
-/// Whether two bytes begin an encoded surrogate, which is not a character, though the library's facet takes it for one.
-bool beginsSurrogate(char first, char second)
-{
-    return static_cast<unsigned char>(first) == 0xed && static_cast<unsigned char>(second) >= 0xa0;
-}
-
-/// Whether the text is UTF-8, which the store and the daemons exchange it in.
-bool isUtf8(std::string_view text)
-{
-    using Utf8Facet = std::codecvt<char32_t, char8_t, std::mbstate_t>;
-    std::mbstate_t state {};
-    const auto* begin = reinterpret_cast<const char8_t*>(text.data());
-    const auto& facet = std::use_facet<Utf8Facet>(std::locale::classic());
-    auto length = facet.length(state, begin, begin + text.size(), text.size());
-    return static_cast<std::size_t>(length) == text.size()
-        && std::ranges::adjacent_find(text, beginsSurrogate) == text.end();
-}
-
 } // namespace
 
 IniFile IniParser::parse(std::string_view text)
@@ -63,7 +45,7 @@
     ++self.lineNumber;
     // A line that inih would cut short or misread is reported here, and inih is given an empty one in its place.
     if (!self.beginLine(line))
-        line = {};
+        line = "";
     std::memcpy(buffer, line.data(), line.size());
     buffer[line.size()] = '\n';
     buffer[line.size() + 1] = '\0';
@@ -82,8 +64,10 @@
         this->report({}, "the line holds a control character; only printable text and tabs are allowed");
         return false;
     }
-    if (!isUtf8(text)) {
-        this->report({}, "the line is not UTF-8 text; save the file in UTF-8");
+    if (!isPlainUtf8(text)) {
+        this->report({},
+            "the line is not plain UTF-8 text; save the file in UTF-8, without emoji and other characters "
+            "beyond U+FFFF");
         return false;
     }
     auto line = classifyIniLine(text);
--- a/modules/config/json/JsonText.cpp
+++ b/modules/config/json/JsonText.cpp
@@ -1,5 +1,7 @@
 #include <config/json/JsonText.h>
 
+#include <config/json/Utf8.h>
+
 #include <json/reader.h>
 #include <json/writer.h>
 #include <memory>
@@ -14,6 +16,8 @@
 
 Result<Json::Value, CodecError> parseJson(std::string_view text)
 {
+    if (!isPlainUtf8(text))
+        return CodecError { "not JSON: the text is not plain UTF-8" };
     Json::CharReaderBuilder builder;
     Json::CharReaderBuilder::strictMode(&builder.settings_);
     builder["stackLimit"] = maxNesting;
--- a/modules/config/json/JsonText.h
+++ b/modules/config/json/JsonText.h
@@ -9,7 +9,7 @@
 
 namespace Greengage {
 
-/// Parses one JSON value. Duplicate members, trailing text and deep nesting are refused.
+/// Parses one JSON value. Duplicate members, trailing text, deep nesting and text that is not plain UTF-8 are refused.
 Result<Json::Value, CodecError> parseJson(std::string_view text);
 
 /// Writes a JSON value on one line.
--- a/modules/fleet/maintenance/ledger/MaintenanceLedger.cpp
+++ b/modules/fleet/maintenance/ledger/MaintenanceLedger.cpp
@@ -1,9 +1,8 @@
 #include <fleet/maintenance/ledger/MaintenanceLedger.h>
 
-#include <json/json.h>
+#include <config/json/JsonText.h>
 
 #include <algorithm>
-#include <memory>
 
 namespace Greengage {
 
@@ -209,9 +208,7 @@
     root["waves"] = Json::Value(Json::arrayValue);
     for (const auto& wave : this->waves)
         root["waves"].append(encodeWave(wave));
-    Json::StreamWriterBuilder builder;
-    builder["indentation"] = "";
-    return Json::writeString(builder, root);
+    return writeJson(root);
 }
 
 Result<MaintenanceLedger, LedgerError> MaintenanceLedger::decode(const std::string& text)
@@ -219,13 +216,10 @@
     MaintenanceLedger ledger;
     if (text.empty())
         return ledger;
-    Json::Value root;
-    std::string fault;
-    Json::CharReaderBuilder builder;
-    Json::CharReaderBuilder::strictMode(&builder.settings_);
-    std::unique_ptr<Json::CharReader> parser(builder.newCharReader());
-    if (!parser->parse(text.data(), text.data() + text.size(), &root, &fault))
-        return LedgerError { fault };
+    auto parsed = parseJson(text);
+    if (parsed.has_error())
+        return LedgerError { parsed.error().message };
+    const auto& root = parsed.value();
     LedgerReader reader;
     ledger.revision = reader.number(root, "revision");
     ledger.documentRevision = reader.number(root, "documentRevision");
--- a/modules/fleet/requests/limits/AllotmentBook.cpp
+++ b/modules/fleet/requests/limits/AllotmentBook.cpp
@@ -1,7 +1,7 @@
 #include <fleet/requests/limits/AllotmentBook.h>
 
-#include <json/json.h>
-#include <memory>
+#include <config/json/JsonText.h>
+
 #include <set>
 
 namespace Greengage {
@@ -11,14 +11,12 @@
     AllotmentBook book;
     if (text.empty())
         return book;
-    Json::Value root;
-    std::string errors;
-    Json::CharReaderBuilder builder;
-    Json::CharReaderBuilder::strictMode(&builder.settings_);
-    std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
-    if (!reader->parse(text.data(), text.data() + text.size(), &root, &errors) || !root.isObject()
-        || !root["teams"].isObject())
-        return AllotmentError { errors.empty() ? "member teams is missing" : errors };
+    auto parsed = parseJson(text);
+    if (parsed.has_error())
+        return AllotmentError { parsed.error().message };
+    const auto& root = parsed.value();
+    if (!root.isObject() || !root["teams"].isObject())
+        return AllotmentError { "member teams is missing" };
     const auto& teams = root["teams"];
     for (const auto& team : teams.getMemberNames()) {
         if (!teams[team].isObject())
@@ -41,9 +39,7 @@
         for (const auto& [incarnation, count] : allotments)
             root["teams"][team.string()][incarnation.string()] = count;
     }
-    Json::StreamWriterBuilder builder;
-    builder["indentation"] = "";
-    return Json::writeString(builder, root);
+    return writeJson(root);
 }
 
 int AllotmentBook::unitsOf(const TeamId& team, const IncarnationId& incarnation) const
--- a/modules/mesh/rpc/LineConnector.cpp
+++ b/modules/mesh/rpc/LineConnector.cpp
@@ -5,6 +5,7 @@
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/listener.h>
+#include <json/value.h>
 #include <netinet/in.h>
 
 namespace Greengage {
@@ -72,14 +73,25 @@
         std::string line(text, length);
         free(text); // NOLINT(cppcoreguidelines-no-malloc): allocated by libevent
         this->received += length;
-        this->OnRequest(line, from);
-        if (!this->connections.contains(from))
+        if (!this->pass(line, from) || !this->connections.contains(from))
             return;
     }
     if (evbuffer_get_length(input) >= maxRequestLineBytes)
         this->drop(from);
 }
 
+bool LineConnector::pass(const std::string& line, bufferevent* from)
+{
+    try {
+        this->OnRequest(line, from);
+        return true;
+    } catch (const Json::Exception&) {
+        // jsoncpp throws where the nesting is too deep.
+        this->drop(from);
+        return false;
+    }
+}
+
 bool LineConnector::SendResponse(const std::string& response, void* connection)
 {
     auto* to = static_cast<bufferevent*>(connection);
--- a/modules/mesh/rpc/LineConnector.h
+++ b/modules/mesh/rpc/LineConnector.h
@@ -29,6 +29,8 @@
 private:
     void accept(int socket);
     void read(bufferevent*);
+    /// Hands a line to the library's server; tells whether the connection goes on.
+    bool pass(const std::string& line, bufferevent* from);
     void drop(bufferevent*);
 
     event_base& base;
--- a/modules/mesh/tests/MeshTests.cpp
+++ b/modules/mesh/tests/MeshTests.cpp
@@ -7,8 +7,10 @@
 #include <support/LoopRunner.h>
 #include <support/ScriptedServer.h>
 
+#include <arpa/inet.h>
 #include <json/value.h>
 #include <optional>
+#include <sys/socket.h>
 #include <unistd.h>
 
 namespace Greengage {
@@ -112,6 +114,24 @@
     }
 }
 
+/// libjsonrpccpp's parser throws where the nesting is too deep.
+BOOST_AUTO_TEST_CASE(lineThatCannotBeParsedEndsOnlyItsConnection)
+{
+    for (const std::string& line : { std::string(5000, '['), std::string("{]"), std::string("\xff\xfe") }) {
+        int socket = ::socket(AF_INET, SOCK_STREAM, 0);
+        sockaddr_in to {};
+        to.sin_family = AF_INET;
+        to.sin_port = htons(this->address.port);
+        inet_pton(AF_INET, this->address.address.c_str(), &to.sin_addr);
+        BOOST_REQUIRE(connect(socket, reinterpret_cast<sockaddr*>(&to), sizeof to) == 0);
+        auto bytes = line + "\n";
+        BOOST_REQUIRE(send(socket, bytes.data(), bytes.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(bytes.size()));
+        MeshClient client(this->loop.base(), this->address, "127.0.0.1");
+        BOOST_TEST(this->exchange(client).has_value());
+        close(socket);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(answerToAnotherCallIsNotTaken)
 {
     ScriptedServer stale(this->loop.base(), [](const std::string&) {
--- a/modules/platform/store/StoreAnswers.cpp
+++ b/modules/platform/store/StoreAnswers.cpp
@@ -13,6 +13,8 @@
 
 namespace {
 
+constexpr int maxNesting = 32;
+
 StoreError malformed(std::string detail) { return { StoreErrorCode::Malformed, 0, std::move(detail) }; }
 
 bool isVersion(const Json::Value& value) { return value.isUInt64(); }
@@ -50,12 +52,18 @@
         return malformed("status " + std::to_string(answer.status));
     Json::CharReaderBuilder builder;
     Json::CharReaderBuilder::strictMode(&builder.settings_);
+    builder["stackLimit"] = maxNesting;
     std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
     Json::Value json;
     std::string errors;
     const char* begin = answer.body.data();
-    if (!reader->parse(begin, begin + answer.body.size(), &json, &errors) || !json.isObject())
-        return malformed("answer is no JSON object");
+    try {
+        if (!reader->parse(begin, begin + answer.body.size(), &json, &errors) || !json.isObject())
+            return malformed("answer is no JSON object");
+    } catch (const Json::Exception& exception) {
+        // jsoncpp throws where the nesting is too deep.
+        return malformed(exception.what());
+    }
     return json;
 }
 
--- /dev/null
+++ b/tests/fuzz/targets/document.cpp
@@ -0,0 +1,28 @@
+#include <config/config.h>
+#include <tests/fuzz/FuzzInput.h>
+
+using namespace Greengage;
+
+/// A text is either a document or has faults; a document survives encoding, division into blocks and merging with
+/// itself, and its comparison with itself is empty.
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size)
+{
+    auto text = fuzzText(data, size);
+    auto parsed = DocumentParser().parse(text);
+    auto blocks = divideIntoBlocks(text);
+    requireProperty(joinBlocks(divideIntoBlocks(joinBlocks(blocks))) == joinBlocks(blocks));
+    requireProperty(DocumentDiff::compare(text, text).empty());
+    requireProperty(SectionMerge::merge(text, text, "[team other]\n").conflicts.empty());
+    if (parsed.has_error()) {
+        requireProperty(!parsed.error().isEmpty());
+        return 0;
+    }
+    DocumentRecord record { 1, {}, text };
+    auto decoded = DocumentCodec::decode(DocumentCodec::encode(record));
+    requireProperty(decoded.has_value() && decoded.value().text == text);
+    auto joined = DocumentParser().parse(joinBlocks(blocks));
+    requireProperty(joined.has_value() && joined.value().pools.size() == parsed.value().pools.size());
+    KeyVerifier verifier(parsed.value());
+    requireProperty(!verifier.verify(text).has_value());
+    return 0;
+}
--- /dev/null
+++ b/tests/fuzz/targets/endpoint.cpp
@@ -0,0 +1,11 @@
+#include <gateway/endpoints/RunningParser.h>
+#include <tests/fuzz/FuzzInput.h>
+
+using namespace Greengage;
+
+/// An endpoint's list of running work.
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size)
+{
+    auto running = parseRunning(fuzzText(data, size));
+    return 0;
+}
--- /dev/null
+++ b/tests/fuzz/targets/ledger.cpp
@@ -0,0 +1,20 @@
+#include <fleet/maintenance/ledger/MaintenanceLedger.h>
+#include <fleet/requests/limits/AllotmentBook.h>
+#include <tests/fuzz/FuzzInput.h>
+
+using namespace Greengage;
+
+/// The ledger of maintenance and the book of allotments, which the store keeps: what is decoded survives encoding.
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size)
+{
+    auto text = fuzzText(data, size);
+    auto book = AllotmentBook::parse(text);
+    if (book.has_value())
+        requireProperty(AllotmentBook::parse(book.value().format()).value().format() == book.value().format());
+    auto ledger = MaintenanceLedger::decode(text);
+    if (!ledger.has_value())
+        return 0;
+    auto again = MaintenanceLedger::decode(ledger.value().encode());
+    requireProperty(again.has_value() && again.value() == ledger.value());
+    return 0;
+}
--- /dev/null
+++ b/tests/fuzz/targets/mesh.cpp
@@ -0,0 +1,26 @@
+#include <config/json/JsonText.h>
+#include <fleet/peers/PeerState.h>
+#include <mesh/MeshError.h>
+#include <mesh/codec/PeerStateCodec.h>
+#include <mesh/rpc/ReplyParser.h>
+#include <mesh/rpc/RpcReply.h>
+#include <tests/fuzz/FuzzInput.h>
+
+using namespace Greengage;
+
+/// Lines from a peer: answers, and the states within questions and answers.
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size)
+{
+    auto text = fuzzText(data, size);
+    auto reply = parseReply(text);
+    auto json = parseJson(text);
+    if (json.has_error())
+        return 0;
+    auto state = PeerStateCodec::fromJson(json.value());
+    if (!state.has_value())
+        return 0;
+    auto again = PeerStateCodec::fromJson(PeerStateCodec::toJson(state.value()));
+    requireProperty(again.has_value());
+    requireProperty(PeerStateCodec::toJson(again.value()) == PeerStateCodec::toJson(state.value()));
+    return 0;
+}
--- /dev/null
+++ b/tests/fuzz/targets/settings.cpp
@@ -0,0 +1,15 @@
+#include <config/config.h>
+#include <tests/fuzz/FuzzInput.h>
+
+using namespace Greengage;
+
+/// A text is either settings in range or has faults.
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size)
+{
+    auto parsed = SettingsParser().parse(fuzzText(data, size));
+    if (parsed.has_error())
+        requireProperty(!parsed.error().isEmpty());
+    else
+        requireProperty(parsed.value().store.port > 0 && !parsed.value().name.isEmpty());
+    return 0;
+}
--- /dev/null
+++ b/tests/fuzz/targets/store.cpp
@@ -0,0 +1,34 @@
+#include <daemon/membership/MemberCodec.h>
+#include <daemon/membership/MemberRecord.h>
+#include <json/value.h>
+#include <platform/http/HttpAnswer.h>
+#include <platform/store/StoreAnswers.h>
+#include <platform/store/StoreEntry.h>
+#include <platform/store/WatchResult.h>
+#include <platform/vms/VmRecord.h>
+#include <tests/fuzz/FuzzInput.h>
+
+using namespace Greengage;
+
+/// Answers of the store and the VM list, and the members' records kept there.
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size)
+{
+    auto text = fuzzText(data, size);
+    auto member = MemberCodec::decode(text);
+    if (member.has_value())
+        requireProperty(MemberCodec::decode(MemberCodec::encode(member.value())).has_value());
+    HttpAnswer answer;
+    answer.status = 200;
+    answer.body = text;
+    auto json = StoreAnswers::parse(answer);
+    if (json.has_error())
+        return 0;
+    auto entry = StoreAnswers::toEntry(json.value(), "key");
+    auto version = StoreAnswers::toVersion(json.value());
+    auto entries = StoreAnswers::toEntries(json.value());
+    auto watched = StoreAnswers::toWatchResult(json.value());
+    auto lease = StoreAnswers::toLeaseId(json.value());
+    auto renewed = StoreAnswers::toRenewed(json.value());
+    auto vms = StoreAnswers::toVms(json.value());
+    return 0;
+}
