--- a/modules/fleet/tests/LimitEscrowTests.cpp
+++ b/modules/fleet/tests/LimitEscrowTests.cpp
@@ -258,6 +258,9 @@
         auto answered = std::count_if(schedule.fleet.records.begin(), schedule.fleet.records.end(),
             [](const OutcomeRecord& record) { return record.ended && record.outcome == Outcome::Answered; });
         BOOST_TEST(answered > 100, "seed " << seed << " answered only " << answered);
+        auto untrue = std::count_if(schedule.fleet.records.begin(), schedule.fleet.records.end(),
+            [](const OutcomeRecord& record) { return record.saysNotRun() && record.begun > 0; });
+        BOOST_TEST(untrue == 0, "seed " << seed << ": not run was said of " << untrue << " requests that had begun");
     }
     BOOST_TEST(reached > scheduleSeeds / 2);
 }
--- a/modules/fleet/tests/simulation/FleetOptions.h
+++ b/modules/fleet/tests/simulation/FleetOptions.h
@@ -19,6 +19,8 @@
     /// Parts of the writes whose answer is lost, after taking effect at once or only later.
     double lostWriteAnswers = 0;
     double lateWrites = 0;
+    /// Part of the claims whose answer is lost; half of them have been written.
+    double lostClaimAnswers = 0;
     /// Part of the attempts whose connection breaks after the endpoint has begun.
     double brokenAttempts = 0;
 };
--- a/modules/fleet/tests/simulation/OutcomeRecord.h
+++ b/modules/fleet/tests/simulation/OutcomeRecord.h
@@ -3,12 +3,17 @@
 #include <core/time/Instant.h>
 #include <fleet/requests/messages/AnswerCaller.h>
 
+#include <string>
+
 namespace Greengage {
 
 /// One request of a simulated caller and how it ended.
 struct OutcomeRecord {
+    bool saysNotRun() const { return this->ended && this->outcome == Outcome::NotRun; }
+
     QueueId queue;
     TeamId team;
+    std::string idempotencyKey;
     Instant submittedAt;
     Instant endedAt;
     bool ended = false;
--- a/modules/fleet/tests/simulation/SimulatedFleet.h
+++ b/modules/fleet/tests/simulation/SimulatedFleet.h
@@ -32,7 +32,7 @@
 
     /// Sends a request to a daemon; it runs for `runTime` once begun. Gives the index of its record.
     std::size_t submit(std::size_t daemon, const std::string& queue, const std::string& key, Microseconds timeout,
-        Microseconds runTime);
+        Microseconds runTime, const std::string& idempotencyKey = {});
 
     void start(std::size_t daemon);
     void kill(std::size_t daemon);
--- a/modules/fleet/tests/simulation/SimulatedFleetActions.cpp
+++ b/modules/fleet/tests/simulation/SimulatedFleetActions.cpp
@@ -11,17 +11,19 @@
 
 } // namespace
 
-std::size_t SimulatedFleet::submit(
-    std::size_t daemon, const std::string& queue, const std::string& key, Microseconds timeout, Microseconds runTime)
+std::size_t SimulatedFleet::submit(std::size_t daemon, const std::string& queue, const std::string& key,
+    Microseconds timeout, Microseconds runTime, const std::string& idempotencyKey)
 {
     auto index = this->records.size();
     OutcomeRecord record;
     record.queue = QueueId(queue);
     record.submittedAt = this->clock.current();
+    record.idempotencyKey = idempotencyKey;
     this->records.push_back(record);
     RequestArrived arrived;
     arrived.request = RequestId(std::to_string(index));
     arrived.queue = record.queue;
+    arrived.idempotencyKey = idempotencyKey;
     arrived.bearer = key.empty() ? key : key + ".secret-" + key;
     arrived.deadline = Deadline::after(this->clock.current(), timeout);
     this->runTimes[arrived.request] = runTime;
@@ -56,7 +58,12 @@
     bool reached = this->reachesStore(this->daemons[daemon]);
     this->after(this->options.storeDelay, [=, this] {
         auto result = ClaimResult::NotMade;
-        if (reached)
+        bool lost = this->uniform() < this->options.lostClaimAnswers;
+        if (reached && lost) {
+            if (this->uniform() < 0.5)
+                this->claims.insert(claim.storeKey);
+            result = ClaimResult::Unsettled;
+        } else if (reached)
             result = this->claims.insert(claim.storeKey).second ? ClaimResult::Won : ClaimResult::Held;
         this->deliver(daemon, incarnation, ClaimSettled { claim.request, result });
     });
