--- a/modules/fleet/tests/ClaimTests.cpp
+++ b/modules/fleet/tests/ClaimTests.cpp
@@ -1,5 +1,6 @@
 #include <boost/test/unit_test.hpp>
 #include <fleet/tests/PlaneFixture.h>
+#include <fleet/tests/simulation/OrderRun.h>
 
 using namespace Greengage;
 
@@ -99,3 +100,22 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(Orders)
+
+BOOST_AUTO_TEST_CASE(noOrderIsBegunTwiceInRandomSchedules)
+{
+    constexpr int seeds = 20;
+    int orders = 0;
+    int begun = 0;
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        auto result = runOrders(true, seed);
+        BOOST_TEST(result.begunTwice == 0, "seed " << seed << ": begun more than once: " << result.begunTwice);
+        BOOST_TEST(result.untrueNotRun == 0, "seed " << seed << ": untrue not run: " << result.untrueNotRun);
+        orders += result.orders;
+        begun += result.begun;
+    }
+    BOOST_TEST(begun > orders / 2);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
