Ask the platform to reboot a VM

Cause: waves reboot VMs, and neither the platform's client nor its stand-in knew the call that docs/ARCHITECTURE.md has. Change: StoreClient::rebootVm (a new method in the shared header); the store stand-in takes each operation number of a VM once, is done after a settable time, and records the VM as leaving and live again, so that the checker sees work begun on it meanwhile. Conclusion: needed by the wave driver.

--- a/modules/platform/platform.h
+++ b/modules/platform/platform.h
@@ -11,4 +11,5 @@
 #include <platform/store/StoreError.h>
 #include <platform/store/StoreWrite.h>
 #include <platform/store/WatchResult.h>
+#include <platform/vms/RebootStatus.h>
 #include <platform/vms/VmRecord.h>
--- a/modules/platform/store/StoreAnswers.cpp
+++ b/modules/platform/store/StoreAnswers.cpp
@@ -3,6 +3,7 @@
 #include <platform/http/HttpAnswer.h>
 #include <platform/store/StoreEntry.h>
 #include <platform/store/WatchResult.h>
+#include <platform/vms/RebootStatus.h>
 #include <platform/vms/VmRecord.h>
 
 #include <json/json.h>
@@ -129,4 +130,11 @@
     return vms;
 }
 
+Result<RebootStatus, StoreError> toRebootStatus(const Json::Value& json)
+{
+    if (!json["operation"].isUInt64() || !json["done"].isBool())
+        return malformed("answer without operation and done");
+    return RebootStatus { json["operation"].asUInt64(), json["done"].asBool() };
+}
+
 } // namespace Greengage::StoreAnswers
--- a/modules/platform/store/StoreAnswers.h
+++ b/modules/platform/store/StoreAnswers.h
@@ -10,6 +10,7 @@
 namespace Greengage {
 
 struct HttpAnswer;
+struct RebootStatus;
 struct StoreEntry;
 struct VmRecord;
 struct WatchResult;
@@ -28,6 +29,7 @@
 Result<std::string, StoreError> toLeaseId(const Json::Value&);
 Result<bool, StoreError> toRenewed(const Json::Value&);
 Result<std::vector<VmRecord>, StoreError> toVms(const Json::Value&);
+Result<RebootStatus, StoreError> toRebootStatus(const Json::Value&);
 
 } // namespace StoreAnswers
 
--- a/modules/platform/store/StoreClient.cpp
+++ b/modules/platform/store/StoreClient.cpp
@@ -6,6 +6,7 @@
 #include <platform/store/StoreEntry.h>
 #include <platform/store/StoreWrite.h>
 #include <platform/store/WatchResult.h>
+#include <platform/vms/RebootStatus.h>
 #include <platform/vms/VmRecord.h>
 
 #include <json/json.h>
@@ -17,6 +18,9 @@
 
 constexpr Milliseconds callTimeout { 2000 };
 constexpr std::string_view callPrefix = "/v1/";
+constexpr std::string_view vmPrefix = "/v1/vms/";
+/// Under which calls that name a VM are counted.
+constexpr const char* rebootKind = "/v1/reboot";
 
 std::string toText(const Json::Value& json)
 {
@@ -44,7 +48,7 @@
 
     HttpCall call(std::string path, std::string body, Milliseconds timeout = callTimeout)
     {
-        this->callsOfPath[path] += 1;
+        this->callsOfPath[path.starts_with(vmPrefix) ? rebootKind : path] += 1;
         HttpCall made;
         made.address = this->address;
         made.port = this->port;
@@ -164,6 +168,14 @@
     this->implementation->send<std::vector<VmRecord>>(call, StoreAnswers::toVms, std::move(callback));
 }
 
+void StoreClient::rebootVm(const std::string& vm, std::uint64_t operation, Callback<RebootStatus> callback)
+{
+    Json::Value json;
+    json["operation"] = Json::UInt64(operation);
+    this->implementation->post<RebootStatus>(
+        std::string(vmPrefix) + vm + "/reboot", json, StoreAnswers::toRebootStatus, std::move(callback));
+}
+
 std::vector<StoreCallCount> StoreClient::callCounts() const
 {
     std::vector<StoreCallCount> counts;
--- a/modules/platform/store/StoreClient.h
+++ b/modules/platform/store/StoreClient.h
@@ -14,6 +14,7 @@
 
 namespace Greengage {
 
+struct RebootStatus;
 struct StoreCallCount;
 struct StoreEntry;
 struct StoreWrite;
@@ -51,6 +52,8 @@
     void renewLease(const std::string& leaseId, Callback<bool>);
     /// Calls back with the platform's list of VMs, which lags behind the VMs themselves.
     void readVms(Callback<std::vector<VmRecord>>);
+    /// Asks the platform to reboot a VM. It runs each operation number of a VM once, so asking again does no harm.
+    void rebootVm(const std::string& vm, std::uint64_t operation, Callback<RebootStatus>);
 
     /// How many calls of each kind have been made.
     std::vector<StoreCallCount> callCounts() const;
--- a/tests/standins/store/StoreService.cpp
+++ b/tests/standins/store/StoreService.cpp
@@ -14,6 +14,8 @@
 
 constexpr Milliseconds timerInterval { 20 };
 constexpr std::string_view pathPrefix = "/v1/";
+constexpr std::string_view vmsPrefix = "vms/";
+constexpr std::string_view rebootSuffix = "/reboot";
 
 Json::Value toJson(const StoreEntry& entry)
 {
@@ -66,6 +68,8 @@
 void StoreService::runTimers()
 {
     this->state.expire(BootClock::now());
+    for (const auto& vm : this->reboots.takeEnded(BootClock::now()))
+        this->history.append(LogLine("vm_live").add("vm", vm).add("at", HistoryFile::now()));
     this->answerWatches();
     this->loop.callLater(timerInterval, [this] { this->runTimers(); });
 }
@@ -125,7 +129,10 @@
         answer["revoked"] = this->state.revokeLease(arguments["leaseId"].asString(), now);
     else if (kind == "vms")
         answer["vms"] = this->vms.shown(now);
-    else {
+    else if (kind.starts_with(vmsPrefix) && kind.ends_with(rebootSuffix)) {
+        auto vm = kind.substr(vmsPrefix.size(), kind.size() - vmsPrefix.size() - rebootSuffix.size());
+        answer = this->reboot(vm, arguments["operation"].asUInt64());
+    } else {
         HttpReplies::text(request, HTTP_NOTFOUND, "no such call");
         return;
     }
@@ -229,6 +236,8 @@
         this->faults.writeAnswersToLose = settings["loseWriteAnswers"].asInt();
     if (settings.isMember("cut"))
         this->faults.cutPrefixes = toStrings(settings["cut"]);
+    if (settings.isMember("rebootMs"))
+        this->rebootTime = Milliseconds(settings["rebootMs"].asInt64());
     if (settings.isMember("vmsLagMs"))
         this->vmsLag = Milliseconds(settings["vmsLagMs"].asInt64());
     if (settings.isMember("vms"))
@@ -236,6 +245,18 @@
     this->releaseHeld();
 }
 
+Json::Value StoreService::reboot(const std::string& vm, std::uint64_t operation)
+{
+    auto now = BootClock::now();
+    if (this->reboots.request(vm, operation, Deadline::after(now, this->rebootTime)))
+        this->history.append(LogLine("vm_leaving").add("vm", vm).add("at", HistoryFile::now()));
+    const auto& newest = this->reboots.newest(vm);
+    Json::Value answer;
+    answer["operation"] = Json::UInt64(newest.operation);
+    answer["done"] = newest.doneAt.hasPassed(now);
+    return answer;
+}
+
 void StoreService::setVms(const Json::Value& list)
 {
     for (const auto& vm : list) {
--- a/tests/standins/store/StoreService.h
+++ b/tests/standins/store/StoreService.h
@@ -3,6 +3,7 @@
 #include <standins/common/HistoryFile.h>
 #include <standins/common/HttpService.h>
 #include <standins/store/PendingWatch.h>
+#include <standins/store/RebootTable.h>
 #include <standins/store/StoreFaults.h>
 #include <standins/store/StoreState.h>
 #include <standins/store/VmList.h>
@@ -40,11 +41,14 @@
     void setVms(const Json::Value& vms);
     void releaseHeld();
     Json::Value describeCalls() const;
+    Json::Value reboot(const std::string& vm, std::uint64_t operation);
 
     Loop& loop;
     StoreState state;
     StoreFaults faults;
     VmList vms;
+    RebootTable reboots;
+    Milliseconds rebootTime { 300 };
     Milliseconds vmsLag {};
     std::map<std::string, std::string> vmStates;
     std::map<std::string, std::uint64_t> callCounts;
