Drive maintenance waves from the daemons

Cause: the maintenance plane decided, but nothing carried its decisions out. Change: MaintenanceDriver runs the plane in every daemon: the ledger is read, watched and swapped through the store, reboots are asked of the platform, moves become changes of the document against exactly their base revision (one change id for all daemons), and operators start, pause, resume, roll back and plan waves on the admin port. VMs that the ledger holds get no new work from this daemon. Status shows waves and endpoints. Ruled out: moving a VM by a merged change, since the plane judges against one revision.

--- a/modules/daemon/Daemon.cpp
+++ b/modules/daemon/Daemon.cpp
@@ -7,6 +7,7 @@
 #include <core/text/Digest.h>
 #include <core/time/BootClock.h>
 #include <daemon/metrics/DaemonGauges.h>
+#include <fleet/maintenance/ledger/MaintenanceLedger.h>
 #include <metrics/burn/BurnCodec.h>
 #include <platform/store/StoreEntry.h>
 
@@ -45,6 +46,7 @@
     , store(base, settings.store.address, settings.store.port, settings.address)
     , documents([this](std::shared_ptr<const Document> document) {
         this->observer.documentApplied(document);
+        this->maintenance.push(DocumentApplied { document });
         this->push(DocumentApplied { std::move(document) });
         this->peerExchange.exchangeNow();
     })
@@ -62,14 +64,19 @@
     , claims(
           base, this->store, this->self.incarnation, [this](ClaimSettled settled) { this->push(std::move(settled)); })
     , allotments(base, this->store, [this](RequestInput input) { this->push(std::move(input)); })
+    , maintenance(base, this->store, this->documents.known(), this->self.incarnation, this->maintenanceHandlers())
     , rollout(this->members, this->peers, this->self.incarnation)
     , adminApi(base, this->store, this->adminSources())
+    , waveApi({ this->documents.known(), this->vms, this->maintenance })
     , adminServer(base,
           { [this](const std::string& key) {
                return KeyVerifier::matches(key, this->settings.admin.keySalt, this->settings.admin.keyDigest);
            },
               [this](const AdminRequest& request, AdminServer::Responder respond) {
-                  this->adminApi.handle(request, std::move(respond));
+                  if (request.path.starts_with(WaveApi::pathPrefix))
+                      this->waveApi.handle(request, std::move(respond));
+                  else
+                      this->adminApi.handle(request, std::move(respond));
               } })
     , tickTimer(base, [this] { this->tick(); })
 {
@@ -95,6 +102,8 @@
     handlers.input = [this](RequestInput input) {
         if (const auto* ended = std::get_if<AttemptEnded>(&input))
             this->observer.attemptEnded(*ended);
+        if (const auto* running = std::get_if<RunningReported>(&input))
+            this->maintenance.push(*running);
         this->push(std::move(input));
     };
     handlers.answered = [this](const AnswerCaller& answer, const QueueId& queue, Microseconds latency) {
@@ -120,9 +129,15 @@
 PeerExchange::Handlers Daemon::peerHandlers()
 {
     PeerExchange::Handlers handlers;
-    handlers.describe = [this] { return this->plane.describe(BootClock::now()); };
+    handlers.describe = [this] {
+        Instant now = BootClock::now();
+        PeerState state = this->plane.describe(now);
+        this->maintenance.push(PeerHeard { state, now });
+        return state;
+    };
     handlers.heard = [this](PeerState state, Instant askedAt) {
         this->peers.take(state, askedAt);
+        this->maintenance.push(PeerHeard { state, askedAt });
         this->push(PeerHeard { std::move(state), askedAt });
     };
     handlers.appliedRevision = [this] { return this->documents.known().appliedRevision(); };
@@ -216,7 +231,7 @@
     } else if (entry.key == AllotmentWriter::key)
         this->allotments.take(entry);
     else if (entry.key == ledgerKey)
-        this->takeLedger(entry);
+        this->maintenance.take(entry, this->watcher.askedAt());
     else if (entry.key == documentKey && entry.version > 0) {
         auto record = DocumentCodec::decode(entry.value);
         if (record.has_value())
@@ -226,30 +241,21 @@
     }
 }
 
-void Daemon::takeLedger(const StoreEntry& entry)
-{
-    auto decoded = MaintenanceLedger::decode(entry.value);
-    if (!decoded.has_value()) {
-        writeLog(LogLevel::Error, LogLine("ledger_malformed").add("detail", decoded.error().detail));
-        return;
-    }
-    if (decoded.value().revision <= this->ledger.revision)
-        return;
-    this->ledger = std::move(decoded.value());
-    this->listEndpoints();
-}
-
 void Daemon::listMembers()
 {
     MembersListed listed;
     for (const auto& [key, member] : this->members.members())
         listed.members.push_back({ member.incarnation, member.zone, {} });
+    this->maintenance.push(listed);
     this->push(std::move(listed));
 }
 
 void Daemon::listEndpoints()
 {
-    this->push(EndpointsListed { this->vms, this->ledger.outOfService(), this->ledger.revision });
+    const MaintenanceLedger& ledger = this->maintenance.ledger();
+    EndpointsListed listed { this->vms, ledger.outOfService(), ledger.revision };
+    this->maintenance.push(listed);
+    this->push(std::move(listed));
 }
 
 /// The members that the store tells of; while it is out, also those that the settings name.
@@ -269,6 +275,18 @@
     this->peerExchange.setPeers(chosen);
 }
 
+MaintenanceDriver::Handlers Daemon::maintenanceHandlers()
+{
+    MaintenanceDriver::Handlers handlers;
+    handlers.askRunning = [this](const AskRunning& question) { this->gateway.askRunning(question); };
+    handlers.ledgerChanged = [this](const MaintenanceLedger&) {
+        this->listEndpoints();
+        this->peerExchange.exchangeNow();
+    };
+    handlers.documentStored = [this](const DocumentRecord& record) { this->documents.offer(record, "maintenance"); };
+    return handlers;
+}
+
 AdminApi::Sources Daemon::adminSources()
 {
     return { this->documents.known(), this->rollout, [this] { return this->makeStatus(); },
@@ -294,9 +312,30 @@
             report.daemons.push_back({ member.daemon, member.zone, peer->state.appliedRevision,
                 std::chrono::duration_cast<Milliseconds>(now - peer->heardAt).count() });
     }
+    for (const WaveProgress& wave : this->maintenance.ledger().waves)
+        report.waves.push_back({ wave.wave, std::string(nameOf(wave.state)), static_cast<int>(wave.remaining.size()),
+            static_cast<int>(wave.done.size()), wave.stuck });
+    this->addEndpoints(report);
     return report;
 }
 
+void Daemon::addEndpoints(StatusReport& report) const
+{
+    const auto& document = this->documents.known().document;
+    if (!document)
+        return;
+    std::set<VmId> draining = this->maintenance.ledger().outOfService();
+    for (const VmRecord& vm : this->vms) {
+        auto holdsVm
+            = [&vm](const Pool& pool) { return std::find(pool.vms.begin(), pool.vms.end(), vm.id) != pool.vms.end(); };
+        auto pool = std::find_if(document->pools.begin(), document->pools.end(), holdsVm);
+        if (pool == document->pools.end() || pool->service.isEmpty())
+            continue;
+        std::string state = draining.contains(vm.id) ? "draining" : std::string(nameOf(vm.state));
+        report.endpoints.push_back({ vm.id, pool->service, state, 0 });
+    }
+}
+
 std::string Daemon::makeMetricsPage()
 {
     DaemonGauges gauges;
--- a/modules/daemon/Daemon.h
+++ b/modules/daemon/Daemon.h
@@ -4,10 +4,12 @@
 #include <core/errors/Result.h>
 #include <daemon/DaemonError.h>
 #include <daemon/admin/AdminApi.h>
+#include <daemon/admin/WaveApi.h>
 #include <daemon/allotments/AllotmentWriter.h>
 #include <daemon/claims/ClaimWriter.h>
 #include <daemon/configuration/DocumentKeeper.h>
 #include <daemon/configuration/StoreWatcher.h>
+#include <daemon/maintenance/MaintenanceDriver.h>
 #include <daemon/membership/MemberTable.h>
 #include <daemon/membership/Registration.h>
 #include <daemon/metrics/DemandGauges.h>
@@ -15,7 +17,6 @@
 #include <daemon/peers/PeerExchange.h>
 #include <daemon/peers/PeerTable.h>
 #include <daemon/vms/VmListReader.h>
-#include <fleet/maintenance/ledger/MaintenanceLedger.h>
 #include <fleet/requests/RequestPlane.h>
 #include <gateway/Gateway.h>
 #include <gateway/admin/AdminServer.h>
@@ -50,15 +51,16 @@
     MeshServer::Handlers meshHandlers();
     PeerExchange::Handlers peerHandlers();
     StoreWatcher::Handlers watchHandlers();
+    MaintenanceDriver::Handlers maintenanceHandlers();
     AdminApi::Sources adminSources();
     StatusReport makeStatus();
+    void addEndpoints(StatusReport&) const;
     std::string makeMetricsPage();
 
     void push(RequestInput);
     void tick();
     void carryOut(const RequestOutput&);
     void takeEntry(const StoreEntry&);
-    void takeLedger(const StoreEntry&);
     void listMembers();
     void listEndpoints();
     void choosePeers();
@@ -76,7 +78,6 @@
     std::vector<RequestInput> inbox;
     bool tickIsDue = false;
     std::vector<VmRecord> vms;
-    MaintenanceLedger ledger;
     MemberTable members;
     PeerTable peers;
     bool shuttingDown = false;
@@ -94,8 +95,10 @@
     VmListReader vmReader;
     ClaimWriter claims;
     AllotmentWriter allotments;
+    MaintenanceDriver maintenance;
     RolloutJudge rollout;
     AdminApi adminApi;
+    WaveApi waveApi;
     AdminServer adminServer;
     Timer tickTimer;
 };
--- a/modules/daemon/admin/DocumentSubmitter.cpp
+++ b/modules/daemon/admin/DocumentSubmitter.cpp
@@ -53,6 +53,10 @@
             this->handleFailure(entry.error(), false);
             return;
         }
+        if (this->newestBaseRequired && this->current.revision != this->submission.baseRevision) {
+            this->finish(SectionConflicts {});
+            return;
+        }
         auto base = DocumentAcceptance::baseChange(this->current, this->submission);
         if (base)
             this->readBase(*base);
--- a/modules/daemon/admin/DocumentSubmitter.h
+++ b/modules/daemon/admin/DocumentSubmitter.h
@@ -29,6 +29,9 @@
     DocumentSubmitter(const DocumentSubmitter&) = delete;
     DocumentSubmitter& operator=(const DocumentSubmitter&) = delete;
 
+    /// Gives up, as after a conflict, unless the submission's base is the newest revision.
+    void requireNewestBase() { this->newestBaseRequired = true; }
+
     void start() { this->readRecord(); }
 
     bool isFinished() const { return !this->finished; }
@@ -51,6 +54,7 @@
     DocumentRecord accepted;
     /// Whether a write of the record has been sent whose answer did not come.
     bool mayBeWritten = false;
+    bool newestBaseRequired = false;
     Timer retry;
 };
 
--- a/modules/daemon/configuration/StoreWatcher.cpp
+++ b/modules/daemon/configuration/StoreWatcher.cpp
@@ -49,6 +49,7 @@
         writeLog(LogLevel::Info, LogLine("store_reachable").add("store_revision", result.storeRevision));
     this->setReachable(true);
     this->storeRevision = result.storeRevision;
+    this->newestAskedAt = askedAt;
     for (const StoreEntry& entry : result.entries)
         this->handlers.changed(entry);
     this->handlers.confirmed(askedAt);
--- a/modules/daemon/configuration/StoreWatcher.h
+++ b/modules/daemon/configuration/StoreWatcher.h
@@ -29,6 +29,9 @@
 
     void start() { this->ask(); }
 
+    /// When the call was sent whose answer is being taken.
+    Instant askedAt() const { return this->newestAskedAt; }
+
     /// Whether the newest call has been answered. Before the first answer it is not.
     bool isReachable() const { return this->reachable; }
 
@@ -42,6 +45,7 @@
     Handlers handlers;
     std::uint64_t storeRevision = 0;
     bool reachable = false;
+    Instant newestAskedAt = Instant::min();
     Timer retry;
 };
 
--- a/modules/daemon/peers/PeerExchange.cpp
+++ b/modules/daemon/peers/PeerExchange.cpp
@@ -45,8 +45,6 @@
 void PeerExchange::round()
 {
     this->timer.schedule(exchangeInterval);
-    if (this->clients.empty())
-        return;
     PeerState own = this->handlers.describe();
     for (auto& [address, client] : this->clients)
         this->exchange(*client, own);
--- a/tests/daemon/FleetFixture.cpp
+++ b/tests/daemon/FleetFixture.cpp
@@ -1,8 +1,9 @@
-#include <daemon/FleetFixture.h>
+#include <tests/daemon/FleetFixture.h>
 
 #include <boost/test/unit_test.hpp>
 #include <core/text/Digest.h>
 
+#include <algorithm>
 #include <chrono>
 #include <config/json/JsonText.h>
 #include <csignal>
@@ -10,6 +11,7 @@
 #include <filesystem>
 #include <fstream>
 #include <iterator>
+#include <limits>
 #include <sstream>
 #include <thread>
 #include <unistd.h>
@@ -34,6 +36,16 @@
     return "127.2." + std::to_string(1 + number % 2) + "." + std::to_string(1 + number / 2);
 }
 
+/// The value of one pair of a history's line.
+std::string valueIn(const std::string& line, const std::string& key)
+{
+    auto begin = line.find(" " + key + "=");
+    if (begin == std::string::npos)
+        return {};
+    begin += key.size() + 2;
+    return line.substr(begin, line.find(' ', begin) - begin);
+}
+
 } // namespace
 
 FleetFixture::FleetFixture()
@@ -43,8 +55,8 @@
     this->folder = mkdtemp(pattern);
     this->daemons.resize(10);
     this->store = std::make_unique<ChildProcess>(program("standin-store"),
-        std::vector<std::string> {
-            "--port", std::to_string(this->basePort + 3), "--control-port", std::to_string(this->basePort + 4) },
+        std::vector<std::string> { "--port", std::to_string(this->basePort + 3), "--control-port",
+            std::to_string(this->basePort + 4), "--history", this->path("platform-history") },
         this->path("store.log"));
     std::vector<std::string> arguments { "--control-port", std::to_string(this->basePort + 6), "--history",
         this->path("history") };
@@ -146,6 +158,15 @@
     return parsed.value();
 }
 
+int FleetFixture::storeCallCount(const std::string& kind)
+{
+    const Json::Value counts = this->storeCalls()["calls"];
+    int sum = 0;
+    for (const std::string& name : counts.getMemberNames())
+        sum += name.ends_with(kind) ? counts[name].asInt() : 0;
+    return sum;
+}
+
 void FleetFixture::awaitHealthy(int number)
 {
     awaitTrue("daemon serves", [this, number] {
@@ -170,6 +191,9 @@
                        "[queue orders]\nowner = stock\nservice = orders\naccess = keyed\nidempotent = yes\n"
                        "[queue prices]\nowner = stock\nservice = orders\naccess = open\nidempotent = yes\n"
                        "[queue pallets]\nowner = stock\nservice = orders\naccess = keyed\nidempotent = no\n"
+                       "[pool spare]\nowner = stock\n"
+                       "[wave kernel]\nowner = stock\npools = orders\nmax_concurrent = 1\n"
+                       "[wave shrink]\nowner = stock\npools = orders\naction = move\ntarget = spare\n"
                        "[team booking]\nowner = desk\nworkspace = desk\nshare = 1\nlimit = 16\n"
                        "[team walk-in]\nowner = desk\nworkspace = desk\nshare = 1\nlimit = 16\n";
     if (withKey)
@@ -189,4 +213,35 @@
     return starts;
 }
 
+int FleetFixture::startsWhileRebooting() const
+{
+    struct Reboot {
+        std::string vm;
+        long long from = 0;
+        long long to = std::numeric_limits<long long>::max();
+    };
+    std::vector<Reboot> reboots;
+    std::ifstream platform(this->path("platform-history"));
+    for (std::string line; std::getline(platform, line);) {
+        if (line.starts_with("event=vm_leaving"))
+            reboots.push_back({ valueIn(line, "vm"), std::stoll(valueIn(line, "at")) });
+        auto open = std::find_if(reboots.rbegin(), reboots.rend(),
+            [&line](const Reboot& reboot) { return reboot.vm == valueIn(line, "vm"); });
+        if (line.starts_with("event=vm_live") && open != reboots.rend())
+            open->to = std::stoll(valueIn(line, "at"));
+    }
+    BOOST_TEST(!reboots.empty());
+    int starts = 0;
+    std::ifstream endpoints(this->path("history"));
+    for (std::string line; std::getline(endpoints, line);) {
+        if (!line.starts_with("event=start "))
+            continue;
+        long long at = std::stoll(valueIn(line, "at"));
+        starts += static_cast<int>(std::count_if(reboots.begin(), reboots.end(), [&](const Reboot& reboot) {
+            return reboot.vm == valueIn(line, "vm") && at > reboot.from && at < reboot.to;
+        }));
+    }
+    return starts;
+}
+
 } // namespace Greengage
--- a/tests/daemon/FleetFixture.h
+++ b/tests/daemon/FleetFixture.h
@@ -31,6 +31,8 @@
     HttpTalkReply admin(int number, const std::string& path);
     HttpTalkReply control(const Json::Value& storeFaults);
     Json::Value storeCalls();
+    /// How many calls of a kind the store has had.
+    int storeCallCount(const std::string& kind);
 
     /// Waits until a daemon answers that it serves.
     void awaitHealthy(int number);
@@ -46,6 +48,9 @@
     /// How often the minions began work whose body has this call name.
     int startsOf(const std::string& call) const;
 
+    /// How often work began at an endpoint while the platform rebooted its VM.
+    int startsWhileRebooting() const;
+
 private:
     std::string writeSettings(int number) const;
     void listVms();
--- a/tests/daemon/WholePathTests.cpp
+++ b/tests/daemon/WholePathTests.cpp
@@ -1,6 +1,6 @@
 #include <boost/test/unit_test.hpp>
 
-#include <daemon/FleetFixture.h>
+#include <tests/daemon/RunningFleet.h>
 
 #include <atomic>
 #include <chrono>
@@ -14,32 +14,6 @@
 
 const std::string work = "call=order run_ms=20 answer_bytes=200\n";
 
-/// Two daemons in two zones, with the document in force.
-struct RunningFleet : FleetFixture {
-    RunningFleet()
-    {
-        this->startDaemon(1);
-        this->startDaemon(2);
-        FleetFixture::awaitTrue("both daemons know each other", [this] {
-            return this->admin(1, "/v1/status").body.find("\"d2\"") != std::string::npos
-                && this->admin(2, "/v1/status").body.find("\"d1\"") != std::string::npos;
-        });
-        HttpTalkReply accepted = this->submit(1, "first", 0, this->documentText());
-        BOOST_REQUIRE_MESSAGE(accepted.status == 200, accepted.body);
-        BOOST_TEST(accepted.body.find("\"inForce\":true") != std::string::npos, accepted.body);
-        this->awaitAnswer(1);
-        this->awaitAnswer(2);
-    }
-
-    /// Waits until a daemon has the list of endpoints.
-    void awaitAnswer(int number)
-    {
-        this->awaitHealthy(number);
-        FleetFixture::awaitTrue("daemon reaches endpoints",
-            [this, number] { return this->call(number, "prices", {}, "call=probe\n").status == 200; });
-    }
-};
-
 } // namespace
 
 BOOST_FIXTURE_TEST_SUITE(WholePathTests, RunningFleet)
