--- a/tests/standins/store/StoreService.cpp
+++ b/tests/standins/store/StoreService.cpp
@@ -1,6 +1,7 @@
 #include <standins/store/StoreService.h>
 
 #include <core/log/LogLine.h>
+#include <core/text/Digest.h>
 #include <standins/common/HttpReplies.h>
 #include <standins/common/JsonText.h>
 #include <standins/common/Loop.h>
@@ -127,9 +128,11 @@
         answer["renewed"] = this->state.renewLease(arguments["leaseId"].asString(), now);
     else if (kind == "lease/revoke")
         answer["revoked"] = this->state.revokeLease(arguments["leaseId"].asString(), now);
-    else if (kind == "vms")
+    else if (kind == "vms") {
         answer["vms"] = this->vms.shown(now);
-    else if (kind.starts_with(vmsPrefix) && kind.ends_with(rebootSuffix)) {
+        this->answerVms(request, answer);
+        return;
+    } else if (kind.starts_with(vmsPrefix) && kind.ends_with(rebootSuffix)) {
         auto vm = kind.substr(vmsPrefix.size(), kind.size() - vmsPrefix.size() - rebootSuffix.size());
         answer = this->reboot(vm, arguments["operation"].asUInt64());
     } else {
@@ -140,6 +143,18 @@
     this->answerWatches();
 }
 
+void StoreService::answerVms(evhttp_request* request, const Json::Value& answer)
+{
+    auto tag = "\"" + sha256Hex(toJsonText(answer)) + "\"";
+    if (HttpReplies::header(request, "If-None-Match") == tag) {
+        ++this->unchangedVmLists;
+        HttpReplies::text(request, HTTP_NOTMODIFIED, "");
+        return;
+    }
+    evhttp_add_header(evhttp_request_get_output_headers(request), "ETag", tag.c_str());
+    this->reply(request, answer);
+}
+
 void StoreService::answerWrite(evhttp_request* request, StoreState::WriteResult result, const std::string& key)
 {
     Json::Value answer;
@@ -290,6 +305,7 @@
     for (const auto& [kind, count] : this->callCounts)
         json["calls"][kind] = Json::UInt64(count);
     json["openWatches"] = Json::UInt64(this->watches.size());
+    json["unchangedVmLists"] = Json::UInt64(this->unchangedVmLists);
     json["storeRevision"] = Json::UInt64(this->state.revision());
     return json;
 }
