Tell the maintenance plane how fresh the list of VMs is

Cause: since an unchanged list is no longer passed on, the maintenance plane saw the list grow old and no wave would have begun; it went unseen because each change of the ledger passed the old list on as if it were new. Change: each read of the list is told to the maintenance plane, a changed one to the request plane too; a change of the ledger tells the request plane only. Before and after: with the reads of an unchanged list kept back, waveBeginsLongAfterTheListOfVmsLastChanged fails (first tries of this test with ten and with twenty reads passed, because of the false freshness); as committed daemon_paths_tests gives 14 passed, 0 failed. Conclusion: a wave begins whenever it is started.

--- a/modules/daemon/Daemon.cpp
+++ b/modules/daemon/Daemon.cpp
@@ -57,10 +57,11 @@
           this->watchHandlers())
     , registration(base, this->store, makeMember(settings, this->self))
     , vmReader(base, this->store,
-          [this](const std::vector<VmRecord>& listed) {
-              this->vms = listed;
-              this->listEndpoints();
-          })
+          { [this](const std::vector<VmRecord>& listed) {
+               this->vms = listed;
+               this->listEndpoints();
+           },
+              [this] { this->maintenance.push(this->makeListing()); } })
     , claims(
           base, this->store, this->self.incarnation, [this](ClaimSettled settled) { this->push(std::move(settled)); })
     , allotments(base, this->store, [this](RequestInput input) { this->push(std::move(input)); })
@@ -251,11 +252,15 @@
 }
 
 void Daemon::listEndpoints()
+{
+    this->maintenance.push(this->makeListing());
+    this->push(this->makeListing());
+}
+
+EndpointsListed Daemon::makeListing() const
 {
     const MaintenanceLedger& ledger = this->maintenance.ledger();
-    EndpointsListed listed { this->vms, ledger.outOfService(), ledger.revision };
-    this->maintenance.push(listed);
-    this->push(std::move(listed));
+    return { this->vms, ledger.outOfService(), ledger.revision };
 }
 
 /// The members that the store tells of; while it is out, also those that the settings name.
@@ -280,7 +285,8 @@
     MaintenanceDriver::Handlers handlers;
     handlers.askRunning = [this](const AskRunning& question) { this->gateway.askRunning(question); };
     handlers.ledgerChanged = [this](const MaintenanceLedger&) {
-        this->listEndpoints();
+        // The list of VMs is as old as before, so the maintenance plane must not take it for a new one.
+        this->push(this->makeListing());
         this->peerExchange.exchangeNow();
     };
     handlers.documentStored = [this](const DocumentRecord& record) { this->documents.offer(record, "maintenance"); };
--- a/modules/daemon/Daemon.h
+++ b/modules/daemon/Daemon.h
@@ -63,6 +63,7 @@
     void takeEntry(const StoreEntry&);
     void listMembers();
     void listEndpoints();
+    EndpointsListed makeListing() const;
     void choosePeers();
     void continueShutdown(Instant now);
     void finishShutdown();
--- a/modules/daemon/vms/VmListReader.cpp
+++ b/modules/daemon/vms/VmListReader.cpp
@@ -10,9 +10,9 @@
 
 } // namespace
 
-VmListReader::VmListReader(event_base& base, StoreClient& store, Listed listed)
+VmListReader::VmListReader(event_base& base, StoreClient& store, Handlers handlers)
     : store(store)
-    , listed(std::move(listed))
+    , handlers(std::move(handlers))
     , timer(base, [this] { this->read(); })
 {
 }
@@ -22,8 +22,9 @@
     this->store.readVms([this](const Result<std::shared_ptr<const std::vector<VmRecord>>, StoreError>& vms) {
         if (vms.has_value() && vms.value() != this->newest) {
             this->newest = vms.value();
-            this->listed(*this->newest);
-        }
+            this->handlers.changed(*this->newest);
+        } else if (vms.has_value())
+            this->handlers.confirmed();
         this->timer.schedule(readInterval);
     });
 }
--- a/modules/daemon/vms/VmListReader.h
+++ b/modules/daemon/vms/VmListReader.h
@@ -14,10 +14,14 @@
 /// Reads the platform's list of VMs every two seconds. A list that cannot be read leaves the last one as it is.
 class VmListReader {
 public:
-    /// Called with each list that differs from the one before.
-    using Listed = std::function<void(const std::vector<VmRecord>&)>;
+    struct Handlers {
+        /// The list differs from the one before.
+        std::function<void(const std::vector<VmRecord>&)> changed;
+        /// The list has been read and is the same as before.
+        std::function<void()> confirmed;
+    };
 
-    VmListReader(event_base&, StoreClient&, Listed listed);
+    VmListReader(event_base&, StoreClient&, Handlers);
 
     void start() { this->read(); }
 
@@ -25,7 +29,7 @@
     void read();
 
     StoreClient& store;
-    Listed listed;
+    Handlers handlers;
     std::shared_ptr<const std::vector<VmRecord>> newest;
     Timer timer;
 };
--- a/tests/daemon/WaveTests.cpp
+++ b/tests/daemon/WaveTests.cpp
@@ -69,6 +69,15 @@
     BOOST_TEST(this->wave(2, "shrink/pause").status == 200);
 }
 
+BOOST_AUTO_TEST_CASE(waveBeginsLongAfterTheListOfVmsLastChanged)
+{
+    // Both daemons read the list every two seconds; by then the list has stood unchanged for twenty.
+    int before = this->storeCallCount("vms");
+    FleetFixture::awaitTrue("the list has been read often", [&] { return this->storeCallCount("vms") >= before + 20; });
+    BOOST_REQUIRE(this->wave(1, "kernel/start").status == 200);
+    FleetFixture::awaitTrue("a VM drains", [this] { return this->statusHas(1, R"("state":"draining")"); });
+}
+
 BOOST_AUTO_TEST_CASE(planNamesEveryVm)
 {
     HttpTalkReply plan = this->admin(1, "/v1/waves/kernel/plan");
