--- a/modules/daemon/peers/PeerExchange.cpp
+++ b/modules/daemon/peers/PeerExchange.cpp
@@ -45,6 +45,7 @@
 void PeerExchange::round()
 {
     this->timer.schedule(exchangeInterval);
+    this->handlers.roundBegins();
     for (auto& [address, client] : this->clients)
         this->exchange(*client);
 }
--- a/modules/daemon/peers/PeerExchange.h
+++ b/modules/daemon/peers/PeerExchange.h
@@ -22,6 +22,8 @@
 class PeerExchange {
 public:
     struct Handlers {
+        /// Called before the peers are asked.
+        std::function<void()> roundBegins;
         /// A peer has answered; the exchange began at `askedAt`.
         std::function<void(PeerState, Instant askedAt)> heard;
         std::function<std::uint64_t()> appliedRevision;
