Let callers turn to another daemon before their deadline

Change: a load of the caller stand-in may bound one attempt (attempt_ms) while the deadline it gives stays longer, so that a daemon that wakes may still act. Endpoints count their deaths.

Seen: triesAnotherDaemonWhenAnAttemptTakesTooLong; standins_tests and site_tests pass.

--- a/tests/site/Site.cpp
+++ b/tests/site/Site.cpp
@@ -3,7 +3,6 @@
 #include <checker/HistoryChecker.h>
 #include <checker/HistoryReader.h>
 #include <core/log/LogLine.h>
-#include <core/text/Digest.h>
 #include <standins/common/JsonText.h>
 #include <standins/common/KeyValueLine.h>
 
@@ -13,14 +12,13 @@
 #include <fstream>
 #include <spdlog/fmt/fmt.h>
 #include <stdexcept>
+#include <tests/site/SiteSettings.h>
 #include <unistd.h>
 
 namespace Greengage {
 
 namespace {
 
-constexpr std::string_view operatorSalt = "ffeeddccbbaa99887766554433221100";
-constexpr std::string_view operatorKey = "operator-key";
 constexpr std::string_view historySuffix = ".history";
 
 std::string endpointOption(const EndpointPlace& place, std::uint16_t port)
@@ -154,32 +152,10 @@
     this->listVms();
 }
 
-void Site::writeSettings(std::size_t index) const
-{
-    const auto& place = this->places.daemons()[index];
-    auto meshPort = this->plan.relayed ? this->places.relayedMeshPort() : this->places.meshPort();
-    auto storePort = this->plan.relayed ? this->places.relayedStorePort() : this->places.storePort();
-    std::string peers;
-    for (const auto& other : this->places.daemons()) {
-        if (other.name != place.name)
-            peers += fmt::format("{}{}:{}", peers.empty() ? "" : ", ", other.address, meshPort);
-    }
-    std::ofstream settings(this->file(place.name + ".ini"));
-    settings << fmt::format(
-        "[daemon]\nname = {}\nzone = zone-{}\naddress = {}\n\n", place.name, place.zone, place.address)
-             << "[log]\nlevel = info\n\n"
-             << fmt::format("[callers]\nport = {}\n\n", this->places.callerPort())
-             << fmt::format("[admin]\nport = {}\nkey_salt = {}\nkey_digest = {}\n\n", this->places.adminPort(),
-                    operatorSalt, sha256Hex(std::string(operatorSalt) + std::string(operatorKey)))
-             << fmt::format("[mesh]\nport = {}\nadvertised_port = {}\n", this->places.meshPort(), meshPort)
-             << (peers.empty() ? "" : "peers = " + peers + "\n")
-             << fmt::format("\n[store]\naddress = {}\nport = {}\n", SiteLayout::storeAddress(), storePort);
-}
-
 void Site::startDaemon(std::size_t index)
 {
-    this->writeSettings(index);
     const auto& name = this->places.daemons()[index].name;
+    std::ofstream(this->file(name + ".ini")) << SiteSettings::text(this->places, index, this->plan.relayed);
     this->daemons[index] = this->start(name, { "greengaged", "--settings", this->file(name + ".ini") });
 }
 
@@ -210,7 +186,7 @@
     call.address = this->places.daemons()[daemonIndex].address;
     call.port = this->places.adminPort();
     call.path = path;
-    call.headers.push_back({ "Authorization", "Bearer " + std::string(operatorKey) });
+    call.headers.push_back({ "Authorization", std::string("Bearer ") + SiteSettings::operatorKey });
     call.timeout = Site::waitLimit;
     return call;
 }
@@ -277,7 +253,7 @@
 int Site::operate(const std::vector<std::string>& command)
 {
     auto keyFile = this->file("operator.key");
-    std::ofstream(keyFile) << operatorKey << "\n";
+    std::ofstream(keyFile) << SiteSettings::operatorKey << "\n";
     std::vector<std::string> words { "greengagectl", "--key-file", keyFile };
     for (const auto& place : this->places.daemons())
         words.insert(words.end(), { "--daemon", fmt::format("{}:{}", place.address, this->places.adminPort()) });
@@ -319,6 +295,15 @@
     this->http.post(SiteLayout::storeAddress(), this->places.minionControlPort(), "/control", settings);
 }
 
+int Site::sumOverEndpoints(const std::string& name)
+{
+    auto state = this->http.get(SiteLayout::storeAddress(), this->places.minionControlPort(), "/control/state");
+    int sum = 0;
+    for (const auto& endpoint : state["endpoints"])
+        sum += endpoint[name].asInt();
+    return sum;
+}
+
 void Site::controlRelay(const Json::Value& settings)
 {
     this->http.post(SiteLayout::storeAddress(), this->places.relayControlPort(), "/control", settings);
--- a/tests/site/Site.h
+++ b/tests/site/Site.h
@@ -63,6 +63,8 @@
 
     void controlStore(const Json::Value& settings);
     void controlEndpoints(const Json::Value& settings);
+    /// The sum over all endpoints of one of the numbers that they tell of themselves, such as "deaths".
+    int sumOverEndpoints(const std::string& name);
     void controlRelay(const Json::Value& settings);
 
     /// Starts callers on the loads given, such as "queue=quotes rate=10", to which team, bearer and idempotence are
@@ -85,7 +87,6 @@
     void startEndpoints();
     void startRelay();
     void listVms();
-    void writeSettings(std::size_t index) const;
     std::string fullLoad(const std::string& load) const;
     /// Records the limits that are about to be raised, or those that have been lowered.
     void recordLimits(bool raised);
--- a/tests/standins/caller/CallerLoad.cpp
+++ b/tests/standins/caller/CallerLoad.cpp
@@ -31,12 +31,14 @@
     load.bearer = line->text("bearer");
     load.idempotent = line->text("idempotent") != "false";
     long long deadline = load.deadline.count();
+    long long attemptLimit = 0;
     bool right = readNumber(*line, "rate", load.rate) && readNumber(*line, "run_ms", load.runMilliseconds)
-        && readNumber(*line, "deadline_ms", deadline) && readNumber(*line, "body_bytes", load.bodyBytes)
-        && readNumber(*line, "answer_bytes", load.answerBytes);
+        && readNumber(*line, "deadline_ms", deadline) && readNumber(*line, "attempt_ms", attemptLimit)
+        && readNumber(*line, "body_bytes", load.bodyBytes) && readNumber(*line, "answer_bytes", load.answerBytes);
     if (!right)
         return "load \"" + text + "\" has a value that is no whole number above 0";
     load.deadline = Milliseconds(deadline);
+    load.attemptLimit = Milliseconds(attemptLimit);
     return load;
 }
 
--- a/tests/standins/caller/CallerProcess.cpp
+++ b/tests/standins/caller/CallerProcess.cpp
@@ -142,6 +142,8 @@
     call.path = "/v1/queues/" + submission.load->queue;
     call.body = body;
     call.timeout = remaining + answerGrace;
+    if (submission.load->attemptLimit > Milliseconds::zero())
+        call.timeout = std::min(call.timeout, submission.load->attemptLimit);
     call.headers.push_back({ "Greengage-Timeout-Ms", std::to_string(remaining.count()) });
     if (!submission.load->bearer.empty())
         call.headers.push_back({ "Authorization", "Bearer " + submission.load->bearer });
--- a/tests/standins/minion/Endpoint.cpp
+++ b/tests/standins/minion/Endpoint.cpp
@@ -224,6 +224,7 @@
 
 void Endpoint::die()
 {
+    ++this->deaths;
     this->service.stopListening();
     for (const auto& [number, job] : this->running)
         this->record("killed", job);
@@ -247,6 +248,7 @@
     json["running"] = Json::UInt64(this->running.size());
     json["mostRunning"] = Json::UInt64(this->mostRunning);
     json["started"] = Json::UInt64(this->started);
+    json["deaths"] = this->deaths;
     json["refused"] = Json::UInt64(this->refused);
     json["connections"] = Json::UInt64(this->connections.size());
     return json;
--- a/tests/standins/minion/Endpoint.h
+++ b/tests/standins/minion/Endpoint.h
@@ -62,6 +62,7 @@
     std::uint64_t lastJob = 0;
     std::uint64_t started = 0;
     std::uint64_t refused = 0;
+    int deaths = 0;
     std::size_t mostRunning = 0;
     HttpService service;
 };
--- a/tests/standins/tests/CallerTests.cpp
+++ b/tests/standins/tests/CallerTests.cpp
@@ -37,6 +37,7 @@
         settings.sources = { "127.4.1.1" };
         settings.loads = { CallerLoad::parse("queue=quotes team=booking bearer=k1.secret rate=100").value() };
         settings.loads[0].idempotent = idempotent;
+        settings.loads[0].attemptLimit = this->attemptLimit;
         settings.historyPath = this->path.string();
         settings.duration = Milliseconds(200);
         CallerProcess process(this->loop, settings);
@@ -69,6 +70,7 @@
     std::function<void(evhttp_request*)> behave;
     std::vector<std::string> keys;
     std::vector<std::string> bearers;
+    Milliseconds attemptLimit {};
     int attempts = 0;
     int submitted = 0;
     HttpService daemon;
@@ -130,6 +132,18 @@
     BOOST_TEST(uses.size() == static_cast<std::size_t>(this->submitted));
 }
 
+BOOST_AUTO_TEST_CASE(triesAnotherDaemonWhenAnAttemptTakesTooLong)
+{
+    this->attemptLimit = Milliseconds(100);
+    this->behave = [this](evhttp_request* request) {
+        if (HttpReplies::body(request).find(".1 ") == std::string::npos)
+            this->answer(request, "answered", 200, WorkOrder::answerFor(HttpReplies::body(request)));
+    };
+    auto verdict = this->run(false);
+    BOOST_TEST(verdict.answered == this->submitted);
+    BOOST_TEST(verdict.brokenAttempts == this->submitted);
+}
+
 BOOST_AUTO_TEST_CASE(refusesLoadsThatItCannotRead)
 {
     BOOST_TEST(!CallerLoad::parse("team=booking").has_value());
