--- /dev/null
+++ b/tests/proofs/ProofSite.h
@@ -0,0 +1,107 @@
+#pragma once
+
+#include <boost/test/unit_test.hpp>
+#include <tests/site/Site.h>
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace Greengage {
+
+/// A running site with its document in force, for one proof.
+class ProofSite {
+public:
+    /// Bound of the end of callers after their last submission: deadline, answer grace and retries.
+    static constexpr Milliseconds callersEndLimit { 60000 };
+
+    explicit ProofSite(const SitePlan& plan)
+        : site(plan)
+    {
+        this->site.startPlatform();
+        this->site.startDaemons();
+        this->site.applyDocument();
+    }
+
+    static void pause(Milliseconds span) { std::this_thread::sleep_for(span); }
+
+    /// Waits for the callers and requires that the histories show no fault and that work was done.
+    HistoryVerdict requireClean()
+    {
+        BOOST_REQUIRE(this->site.waitForCallers(callersEndLimit));
+        auto verdict = this->site.verdict();
+        BOOST_TEST_MESSAGE(verdict.summary());
+        for (const auto& detail : verdict.details)
+            BOOST_TEST_MESSAGE(detail);
+        BOOST_TEST(verdict.isClean(), verdict.summary());
+        BOOST_TEST(verdict.answered > 0);
+        return verdict;
+    }
+
+    /// How much work was started from `from` until `until`, of one team or of all, on one VM or on all.
+    int startsBetween(Instant from, Instant until, const std::string& team = "", const std::string& vm = "") const
+    {
+        auto history = this->site.history();
+        auto counts = [&](const WorkEvent& event) {
+            return event.change == WorkChange::Start && event.at >= from && event.at < until
+                && (team.empty() || event.team == team) && (vm.empty() || event.vm == vm);
+        };
+        return static_cast<int>(std::count_if(history.work.begin(), history.work.end(), counts));
+    }
+
+    /// How many submissions to a queue ended without an answer.
+    int unansweredOn(const std::string& queue) const
+    {
+        auto history = this->site.history();
+        std::set<std::string> answeredCalls;
+        for (const auto& answer : history.answers) {
+            if (answer.outcome == SeenOutcome::Answered)
+                answeredCalls.insert(answer.call);
+        }
+        std::map<std::string, bool> answered;
+        for (const auto& invoke : history.invokes) {
+            if (invoke.queue == queue)
+                answered[invoke.submission] |= answeredCalls.contains(invoke.call);
+        }
+        return static_cast<int>(
+            std::count_if(answered.begin(), answered.end(), [](const auto& entry) { return !entry.second; }));
+    }
+
+    /// Cuts a zone's daemons from the store, from the other zones' daemons and from their endpoints, silently.
+    void isolateZone(int zone)
+    {
+        Json::Value settings;
+        auto own = SiteLayout::daemonPrefix(zone);
+        addRule(settings, own, SiteLayout::endpointPrefix(zone), "pass");
+        addRule(settings, own, own, "pass");
+        addRule(settings, own, "127.", "freeze");
+        addRule(settings, "127.1.", own, "freeze");
+        addRule(settings, "127.1.", SiteLayout::endpointPrefix(zone), "freeze");
+        this->site.controlRelay(settings);
+    }
+
+    void healZones()
+    {
+        Json::Value settings;
+        settings["rules"] = Json::arrayValue;
+        this->site.controlRelay(settings);
+    }
+
+    Site site;
+
+private:
+    static void addRule(
+        Json::Value& settings, const std::string& source, const std::string& destination, const std::string& action)
+    {
+        Json::Value rule;
+        rule["source"] = source;
+        rule["destination"] = destination;
+        rule["action"] = action;
+        settings["rules"].append(rule);
+    }
+};
+
+} // namespace Greengage
