--- a/modules/cli/commands/CommandErrors.cpp
+++ b/modules/cli/commands/CommandErrors.cpp
@@ -2,6 +2,7 @@
 
 #include <cli/admin/AdminError.h>
 #include <config/errors/ConfigErrors.h>
+#include <config/ini/IniLine.h>
 
 #include <spdlog/fmt/fmt.h>
 
@@ -14,7 +15,8 @@
 
 CommandError explainRefusal(const AdminError& error)
 {
-    auto message = error.detail + (error.body.empty() ? "" : ": " + error.body);
+    std::string body(trimWhitespace(error.body));
+    auto message = error.detail + (body.empty() ? "" : ": " + body);
     if (error.status != unavailableStatus)
         return { ExitCode::Refused, message, error.body };
     if (error.body.find(unknownOutcome) != std::string::npos)
--- a/modules/cli/commands/WorkingCopy.cpp
+++ b/modules/cli/commands/WorkingCopy.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <set>
 #include <spdlog/fmt/fmt.h>
 
 namespace Greengage {
@@ -10,7 +11,13 @@
 
 constexpr std::string_view linePrefix = "; greengagegap revision ";
 
-void append(std::string& list, const std::string& name) { list += (list.empty() ? "" : ", ") + name; }
+std::string joined(const std::set<std::string>& names)
+{
+    std::string list;
+    for (const auto& name : names)
+        list += (list.empty() ? "" : ", ") + name;
+    return list;
+}
 
 } // namespace
 
@@ -34,13 +41,13 @@
 
 std::string WorkingCopy::revisionLine(std::uint64_t revision, const StatusReport& status)
 {
-    std::string have;
-    std::string behind;
+    std::set<std::string> have;
+    std::set<std::string> behind;
     for (const auto& daemon : status.daemons)
-        append(daemon.revision >= revision ? have : behind, daemon.daemon.string());
-    auto line = fmt::format("{}{}; on {}", linePrefix, revision, have.empty() ? "no daemon yet" : have);
+        (daemon.revision >= revision ? have : behind).insert(daemon.daemon.string());
+    auto line = fmt::format("{}{}; on {}", linePrefix, revision, have.empty() ? "no daemon yet" : joined(have));
     if (!behind.empty())
-        line += "; not yet on " + behind;
+        line += "; not yet on " + joined(behind);
     return line + (status.inForceRevision >= revision ? "; in force everywhere\n" : "; not in force everywhere\n");
 }
 
