--- a/modules/platform/store/StoreClient.h
+++ b/modules/platform/store/StoreClient.h
@@ -14,6 +14,7 @@
 
 namespace Greengage {
 
+struct RebootStatus;
 struct StoreCallCount;
 struct StoreEntry;
 struct StoreWrite;
@@ -49,10 +50,12 @@
     void grantLease(Milliseconds timeToLive, Callback<std::string>);
     /// Calls back with true, or with LeaseLapsed if the lease is no more.
     void renewLease(const std::string& leaseId, Callback<bool>);
-    /// Calls back with the platform's list of VMs, which lags behind the VMs themselves.
-    /// Calls back with the platform's list of VMs. A list that has not changed since the last call gives the same
-    /// object as that call: it is asked for by its entity tag, so it is neither sent nor decoded again.
+    /// Calls back with the platform's list of VMs, which lags behind the VMs themselves. A list that has not changed
+    /// since the last call gives the same object as that call: it is asked for by its entity tag, so it is neither sent
+    /// nor decoded again.
     void readVms(Callback<std::shared_ptr<const std::vector<VmRecord>>>);
+    /// Asks the platform to reboot a VM. It runs each operation number of a VM once, so asking again does no harm.
+    void rebootVm(const std::string& vm, std::uint64_t operation, Callback<RebootStatus>);
 
     /// How many calls of each kind have been made.
     std::vector<StoreCallCount> callCounts() const;
