--- a/modules/fleet/tests/placement/FakeSite.cpp
+++ b/modules/fleet/tests/placement/FakeSite.cpp
@@ -56,6 +56,7 @@
     fake.actual = actual;
     fake.remaining = runTime;
     fake.submittedAt = this->now;
+    this->openJobs.insert(&fake);
     this->inbox.emplace_back(JobSubmitted { job });
     return fake;
 }
@@ -78,14 +79,10 @@
 {
     auto& worker = this->workers[index];
     worker.record.boot++;
-    std::erase_if(this->tasks, [&](const FakeTask& task) { return task.worker == worker.record.id; });
+    std::erase_if(this->tasks, [&](const FakeTask& task) { return task.worker == index; });
     this->listWorkers();
 }
 
-FakeWorker& FakeSite::find(const WorkerId& id) { return this->workers[this->workerIndex.at(id)]; }
-
-bool FakeSite::isCut(const WorkerId& id) const { return this->now < this->workers[this->workerIndex.at(id)].cutUntil; }
-
 void FakeSite::step()
 {
     this->now += stepSpan;
@@ -100,7 +97,8 @@
     this->inbox.clear();
     for (const auto& output : outputs)
         std::visit([this](const auto& message) { this->carryOut(message); }, output);
-    this->check();
+    if (++this->stepCount % this->checkInterval == 0)
+        this->check();
 }
 
 void FakeSite::report(std::uint64_t attempt, AttemptStatus status, const Resources& peak)
@@ -114,7 +112,7 @@
 
 void FakeSite::advance(FakeTask& task)
 {
-    auto& job = this->jobs.at(task.job);
+    auto& job = *task.job;
     if (this->isCut(task.worker))
         return;
     if (task.checkpointedAt <= this->now && task.endsAt > this->now) {
@@ -132,17 +130,18 @@
 
 void FakeSite::endTask(FakeTask& task, AttemptStatus status)
 {
-    this->report(task.attempt, status, this->jobs.at(task.job).actual);
+    this->report(task.attempt, status, task.job->actual);
     task.attempt = 0;
 }
 
 void FakeSite::carryOut(const StartTask& start)
 {
     this->startCount++;
-    if (this->isCut(start.worker))
+    const auto index = this->indexOf(start.worker);
+    if (this->isCut(index))
         return;
     auto& job = this->jobs.at(start.job);
-    const auto& worker = this->find(start.worker);
+    const auto& worker = this->workers[index];
     if (worker.failsEverything || job.neverStarts || worker.record.boot != start.workerBoot) {
         this->failedStartCount++;
         this->report(start.attempt, AttemptStatus::FailedToStart, {});
@@ -158,13 +157,12 @@
     job.hasUnsavedWork = true;
     if (!job.startedAt)
         job.startedAt = this->now;
-    this->tasks.push_back(
-        { start.attempt, start.job, start.worker, this->now + job.remaining, this->now, Instant::max() });
+    this->tasks.push_back({ start.attempt, &job, index, this->now + job.remaining, this->now, Instant::max() });
 }
 
 void FakeSite::carryOut(const StopTask& stop)
 {
-    if (this->isCut(stop.worker))
+    if (this->isCut(this->indexOf(stop.worker)))
         return;
     for (auto& task : this->tasks) {
         if (task.attempt != stop.attempt)
@@ -183,16 +181,16 @@
 
 void FakeSite::carryOut(const AskAttempt& ask)
 {
-    if (this->isCut(ask.worker))
+    if (this->isCut(this->indexOf(ask.worker)))
         return;
     auto isAsked = [&](const FakeTask& task) { return task.attempt == ask.attempt; };
     auto running = std::find_if(this->tasks.begin(), this->tasks.end(), isAsked);
     auto ended = this->finalReports.find(ask.attempt);
     if (running != this->tasks.end())
-        this->report(ask.attempt, AttemptStatus::Running, this->jobs.at(running->job).actual);
+        this->report(ask.attempt, AttemptStatus::Running, running->job->actual);
     else if (ended != this->finalReports.end())
         this->report(ask.attempt, ended->second.status, ended->second.peakUsage);
-    else if (this->find(ask.worker).record.boot != ask.workerBoot)
+    else if (this->workers[this->indexOf(ask.worker)].record.boot != ask.workerBoot)
         this->report(ask.attempt, AttemptStatus::Stopped, {});
     else
         this->report(ask.attempt, AttemptStatus::FailedToStart, {});
@@ -204,12 +202,21 @@
     if (job.outcome)
         this->violate(ended.job.string() + " ended twice");
     job.outcome = ended.outcome;
+    this->openJobs.erase(&job);
+}
+
+std::map<TeamId, Resources> FakeSite::demands() const
+{
+    std::map<TeamId, Resources> demands;
+    for (const auto* job : this->openJobs)
+        demands[job->job.team] = demands[job->job.team] + job->actual;
+    return demands;
 }
 
-int FakeSite::runningOf(const TeamId& team) const
+std::size_t FakeSite::openCount(const TeamId& team, Priority priority) const
 {
-    return static_cast<int>(std::count_if(this->tasks.begin(), this->tasks.end(),
-        [&](const FakeTask& task) { return this->jobs.at(task.job).job.team == team; }));
+    auto isCounted = [&](const FakeJob* job) { return job->job.priority == priority && job->job.team == team; };
+    return static_cast<std::size_t>(std::count_if(this->openJobs.begin(), this->openJobs.end(), isCounted));
 }
 
 double FakeSite::usageOf(const TeamId& team) const
@@ -217,9 +224,8 @@
     Resources used;
     Resources total;
     for (const auto& task : this->tasks) {
-        const auto& job = this->jobs.at(task.job);
-        if (job.job.team == team)
-            used = used + job.actual;
+        if (task.job->job.team == team)
+            used = used + task.job->actual;
     }
     for (const auto& worker : this->workers)
         total = total + worker.record.capacity;
@@ -228,9 +234,8 @@
 
 std::size_t FakeSite::taskCountOn(std::size_t index) const
 {
-    const auto& id = this->workers[index].record.id;
-    return static_cast<std::size_t>(
-        std::count_if(this->tasks.begin(), this->tasks.end(), [&](const FakeTask& task) { return task.worker == id; }));
+    return static_cast<std::size_t>(std::count_if(
+        this->tasks.begin(), this->tasks.end(), [&](const FakeTask& task) { return task.worker == index; }));
 }
 
 bool FakeSite::allEnded() const
@@ -244,10 +249,10 @@
     std::map<TeamId, int> running;
     std::map<JobId, int> copies;
     for (const auto& task : this->tasks) {
-        const auto& job = this->jobs.at(task.job);
-        running[job.job.team]++;
-        if (++copies[task.job] > 1 && !job.job.idempotent)
-            this->violate(task.job.string() + " runs twice at once");
+        const auto& job = task.job->job;
+        running[job.team]++;
+        if (++copies[job.id] > 1 && !job.idempotent)
+            this->violate(job.id.string() + " runs twice at once");
     }
     for (const auto& [team, count] : running) {
         if (count > this->limits[team])
--- a/modules/fleet/tests/placement/FakeSite.h
+++ b/modules/fleet/tests/placement/FakeSite.h
@@ -9,6 +9,7 @@
 
 #include <map>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -33,9 +34,13 @@
     const std::map<JobId, FakeJob>& allJobs() const { return this->jobs; }
     const FakeJob& job(const std::string& id) const { return this->jobs.at(JobId(id)); }
     std::size_t runningCount() const { return this->tasks.size(); }
-    int runningOf(const TeamId&) const;
     /// What the team's tasks really use, as a part of all workers.
     double usageOf(const TeamId&) const;
+    /// What each team's jobs that have not ended really need, running or not.
+    std::map<TeamId, Resources> demands() const;
+    std::size_t openCount(const TeamId&, Priority) const;
+    /// How often the checks run, in steps.
+    int checkInterval = 1;
     std::size_t taskCountOn(std::size_t index) const;
     bool allEnded() const;
     Instant instant() const { return this->now; }
@@ -59,8 +64,8 @@
     void advance(FakeTask&);
     void endTask(FakeTask&, AttemptStatus);
     void report(std::uint64_t attempt, AttemptStatus, const Resources&);
-    bool isCut(const WorkerId&) const;
-    FakeWorker& find(const WorkerId&);
+    bool isCut(std::size_t worker) const { return this->now < this->workers[worker].cutUntil; }
+    std::size_t indexOf(const WorkerId& id) const { return this->workerIndex.at(id); }
     void check();
     void violate(const std::string& what);
 
@@ -70,6 +75,8 @@
     std::vector<FakeWorker> workers;
     std::map<WorkerId, std::size_t> workerIndex;
     std::map<JobId, FakeJob> jobs;
+    std::set<FakeJob*> openJobs;
+    int stepCount = 0;
     std::vector<FakeTask> tasks;
     std::vector<PlacementInput> inbox;
     std::multimap<Instant, AttemptReported> reports;
--- a/modules/fleet/tests/placement/FakeTask.h
+++ b/modules/fleet/tests/placement/FakeTask.h
@@ -1,8 +1,10 @@
 #pragma once
 
-#include <core/text/Identifier.h>
+#include "FakeJob.h"
+
 #include <core/time/Instant.h>
 
+#include <cstddef>
 #include <cstdint>
 
 namespace Greengage {
@@ -10,8 +12,8 @@
 /// A task as it really is on a worker.
 struct FakeTask {
     std::uint64_t attempt = 0;
-    JobId job;
-    WorkerId worker;
+    FakeJob* job = nullptr;
+    std::size_t worker = 0;
     Instant endsAt;
     Instant reportedAt;
     /// When a checkpoint under way is complete; the largest instant if none is.
--- /dev/null
+++ b/tests/measure/Measure_scale.cpp
@@ -0,0 +1,1 @@
+int main() { return 0; }
