Look at half as many workers for one job

Ruled out by a run: remembering failed sizes without a bound (no change in instructions; kept, as it is simpler).

--- a/modules/fleet/placement/systems/JobPlacer.cpp
+++ b/modules/fleet/placement/systems/JobPlacer.cpp
@@ -31,8 +31,11 @@
     auto* worker = this->tables.workers.findFit(size, this->tables.profile.packsTightly,
         [&](const WorkerEntry& candidate) { return accepts(candidate, entry); });
     if (!worker) {
-        if (isPlain && this->unplaceable.size() < 8)
+        if (isPlain) {
+            // Larger sizes need not be remembered beside a smaller one.
+            std::erase_if(this->unplaceable, [&](const Resources& failed) { return size.fitsWithin(failed); });
             this->unplaceable.push_back(size);
+        }
         return false;
     }
     this->tables.begin(entry, worker->record.id, size, false);
--- a/modules/fleet/placement/systems/WorkerTable.cpp
+++ b/modules/fleet/placement/systems/WorkerTable.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-constexpr int maxCandidates = 48;
+constexpr int maxCandidates = 24;
 
 Resources& reservationOf(WorkerEntry& worker, const Attempt& attempt)
 {
--- a/tests/measure/Measure_scale.cpp
+++ b/tests/measure/Measure_scale.cpp
@@ -208,11 +208,21 @@
     CLI::App app { "Measures what placement and waves cost as the fleet grows" };
     std::string folder = "docs/measurements";
     int repetitions = 3;
+    int single = 0;
     app.add_option("--repetitions", repetitions, "Runs of each size; the least is taken")->check(CLI::Range(1, 100));
+    app.add_option("--single", single, "Only run the size with so many workers once, for a profiler");
     app.add_option("--out", folder, "Folder for the table and the plot")->check(CLI::ExistingDirectory);
     CLI11_PARSE(app, argc, argv);
     const std::vector<Size> sizes { { 131, 7, 13 }, { 263, 13, 25 }, { 525, 26, 50 }, { 1050, 52, 100 },
         { 2100, 104, 200 } };
+    for (const auto& size : sizes) {
+        Cost cost;
+        if (size.workers != single)
+            continue;
+        measurePlacement(size, cost);
+        measureWave(size, cost);
+        return 0;
+    }
     std::vector<double> positions;
     Series placement { "placement tick, ms", {} };
     Series wave { "wave tick, ms", {} };
@@ -249,6 +259,7 @@
     page << "# Growth measured\n\nMade by `scripts/measure scale`: processor time of one tick (four a second) on the "
             "machine of the run, least of "
          << repetitions << " runs; \"growth\" is the exponent from the size above (n log n is about 1.1 to 1.2 here).\n"
+         << "Instructions of whole runs of 40 ticks: `scripts/measure-instructions`, figures below if it was run.\n"
          << "The scenarios are in tests/measure/Measure_scale.cpp.\n\n"
          << table.str() << "\n![growth](scale.svg)\n";
     writeLineChart(folder + "/scale.svg", "Processor time of a tick", "workers", positions, { placement, wave });
