--- a/modules/fleet/requests/RequestPlane.cpp
+++ b/modules/fleet/requests/RequestPlane.cpp
@@ -2,6 +2,7 @@
 
 #include <fleet/requests/admission/Admission.h>
 #include <fleet/requests/attempts/Attempts.h>
+#include <fleet/requests/claims/Claims.h>
 #include <fleet/requests/dispatch/Dispatch.h>
 #include <fleet/requests/dispatch/EndpointTable.h>
 #include <fleet/requests/dispatch/Expiry.h>
@@ -15,7 +16,11 @@
 
 class RequestPlane::Implementation {
 public:
-    explicit Implementation(PeerState self) { this->tables.self = std::move(self); }
+    Implementation(PeerState self, const RequestPolicy& policy)
+    {
+        this->tables.self = std::move(self);
+        this->tables.policy = policy;
+    }
 
     std::vector<RequestOutput> tick(Instant now, const std::vector<RequestInput>& inputs)
     {
@@ -26,7 +31,8 @@
             std::visit([&](const auto& message) { take(tick, message); }, input);
         Expiry(tick).run();
         Attempts(tick).settleUnknown();
-        Dispatch(tick).run();
+        if (this->tables.isAnyWaiting())
+            Dispatch(tick).run();
         LimitEscrow(tick).run();
         return outbox;
     }
@@ -58,7 +64,7 @@
     }
 
     static void take(Tick& tick, const StoreConfirmed& message) { FreshnessFence(tick).take(message); }
-    static void take(Tick&, const ClaimSettled&) { }
+    static void take(Tick& tick, const ClaimSettled& message) { Claims(tick).take(message); }
     static void take(Tick& tick, const AllotmentsRead& message) { LimitEscrow(tick).take(message); }
     static void take(Tick& tick, const AllotmentsWriteFailed& message) { LimitEscrow(tick).take(message); }
     static void take(Tick& tick, const PeerHeard& message) { FreshnessFence(tick).take(message); }
@@ -70,8 +76,8 @@
     }
 };
 
-RequestPlane::RequestPlane(PeerState self)
-    : implementation(std::make_unique<Implementation>(std::move(self)))
+RequestPlane::RequestPlane(PeerState self, const RequestPolicy& policy)
+    : implementation(std::make_unique<Implementation>(std::move(self), policy))
 {
 }
 
--- a/modules/fleet/requests/dispatch/Dispatch.cpp
+++ b/modules/fleet/requests/dispatch/Dispatch.cpp
@@ -1,6 +1,7 @@
 #include <fleet/requests/dispatch/Dispatch.h>
 
 #include <algorithm>
+#include <fleet/requests/claims/Claims.h>
 #include <fleet/requests/dispatch/EndpointSelection.h>
 #include <fleet/requests/freshness/FreshnessFence.h>
 #include <fleet/requests/limits/LimitEscrow.h>
@@ -13,12 +14,19 @@
 
 /// Longest time between the decision to send and the first byte, so that a newer decision is not overtaken for long.
 constexpr Milliseconds sendWindow { 1000 };
+/// How long the first attempt of idempotent work may take, so that a silent connection leaves time for a second: a part
+/// of the time left in percent, but at least so many times the median run time.
+constexpr int firstAttemptPercent = 60;
+constexpr int firstAttemptMedians = 4;
 
 } // namespace
 
 Dispatch::Dispatch(Tick& tick)
     : tick(tick)
     , keyedWorkEnd(FreshnessFence(tick).permissionEnd())
+    , demand(tick)
+    , usage(tick, this->demand)
+    , slots(tick, this->demand)
 {
 }
 
@@ -44,11 +52,13 @@
 
 bool Dispatch::comesTooLate(const RequestRow& row) const
 {
+    if (row.deadline.hasPassed(this->tick.now))
+        return true;
     auto estimate = this->tick.tables.runTimes.find(row.queue);
-    if (estimate == this->tick.tables.runTimes.end())
+    if (row.attempts > 0 || estimate == this->tick.tables.runTimes.end())
         return false;
-    auto median = estimate->second.median();
-    return row.deadline.remaining(this->tick.now) < median && row.deadline.remaining(row.arrivedAt) >= median;
+    auto whole = row.deadline.remaining(row.arrivedAt);
+    return row.deadline.remaining(this->tick.now) < estimate->second.timeToLeave(whole);
 }
 
 bool Dispatch::isPermitted(const RequestRow& row) const
@@ -59,39 +69,37 @@
     return LimitEscrow(this->tick).allowsStart(row.team);
 }
 
-double Dispatch::loadOf(const WorkLineKey& key) const
-{
-    const Team* team = this->tick.tables.findTeam(key.team);
-    return this->tick.tables.usageOf(key.team).running / (team ? team->share : 1.0);
-}
-
-bool Dispatch::goesBefore(
-    const WorkLineKey& key, const RequestRow& row, const WorkLineKey& otherKey, const RequestRow& other) const
+bool Dispatch::goesBefore(const RequestRow& row, const RequestRow& other) const
 {
+    if (this->tick.tables.policy.order == ServingOrder::FirstCome)
+        return row.arrivedAt < other.arrivedAt;
     if (row.priority != other.priority)
         return row.priority < other.priority;
-    return this->loadOf(key) < this->loadOf(otherKey);
+    double load = this->usage.loadOf(ServiceTeam { row.service, row.team });
+    double otherLoad = this->usage.loadOf(ServiceTeam { other.service, other.team });
+    if (load != otherLoad)
+        return load < otherLoad;
+    return row.arrivedAt < other.arrivedAt;
 }
 
 bool Dispatch::startNext()
 {
     WorkLine* bestLine = nullptr;
-    const WorkLineKey* bestKey = nullptr;
     RequestRow* bestRow = nullptr;
     EndpointRow* bestEndpoint = nullptr;
     for (auto& [key, line] : this->tick.tables.lines) {
         if (line.waiting == 0 || this->blocked.contains(&line))
             continue;
         RequestRow* row = this->frontOf(line);
-        EndpointRow* endpoint = row && this->isPermitted(*row) ? EndpointSelection(this->tick).choose(*row) : nullptr;
+        EndpointRow* endpoint
+            = row && this->isPermitted(*row) ? EndpointSelection(this->tick).choose(*row, this->slots) : nullptr;
         if (!endpoint) {
             this->blocked.insert(&line);
             continue;
         }
-        if (bestRow && !this->goesBefore(key, *row, *bestKey, *bestRow))
+        if (bestRow && !this->goesBefore(*row, *bestRow))
             continue;
         bestLine = &line;
-        bestKey = &key;
         bestRow = row;
         bestEndpoint = endpoint;
     }
@@ -105,11 +113,18 @@
 {
     line.order.pop_front();
     RequestLifecycle(this->tick).start(row, endpoint.id);
-    this->send(row, endpoint);
+    this->usage.addStart(ServiceTeam { row.service, row.team });
+    Claims claims(this->tick);
+    if (claims.isNeeded(row))
+        claims.request(row);
+    else
+        this->send(row, endpoint);
 }
 
 void Dispatch::send(RequestRow& row, const EndpointRow& endpoint)
 {
+    if (row.attempts == 0)
+        this->tick.tables.retryBudgets[row.service].addFirstSend();
     row.attempts += 1;
     row.sentAt = this->tick.now;
     SendAttempt attempt;
@@ -122,9 +137,21 @@
     attempt.notAfter = std::min(row.deadline, Deadline::after(this->tick.now, sendWindow));
     if (!row.key.isEmpty())
         attempt.notAfter = std::min(attempt.notAfter, Deadline(this->keyedWorkEnd));
-    attempt.answerBy = row.deadline;
-    attempt.freshConnection = !row.idempotent;
+    attempt.answerBy = this->answerBy(row);
+    attempt.freshConnection = !row.idempotent || row.attempts > 1 || endpoint.consecutiveFailures > 0;
     this->tick.outbox.emplace_back(attempt);
 }
 
+Deadline Dispatch::answerBy(const RequestRow& row) const
+{
+    bool mayRetry = row.idempotent && row.attempts == 1 && EndpointSelection(this->tick).countCandidates(row) > 1;
+    if (!mayRetry)
+        return row.deadline;
+    auto left = row.deadline.remaining(this->tick.now);
+    auto estimate = this->tick.tables.runTimes.find(row.queue);
+    auto median = estimate == this->tick.tables.runTimes.end() ? Microseconds::zero() : estimate->second.median();
+    auto patience = std::max(left * firstAttemptPercent / 100, median * firstAttemptMedians);
+    return std::min(row.deadline, Deadline::after(this->tick.now, patience));
+}
+
 } // namespace Greengage
--- a/modules/fleet/requests/tables/RequestTables.h
+++ b/modules/fleet/requests/tables/RequestTables.h
@@ -4,7 +4,9 @@
 #include <config/model/Document.h>
 #include <core/time/Instant.h>
 #include <fleet/peers/PeerState.h>
+#include <fleet/requests/attempts/RetryBudget.h>
 #include <fleet/requests/limits/EscrowState.h>
+#include <fleet/requests/policy/RequestPolicy.h>
 #include <fleet/requests/tables/EndpointRow.h>
 #include <fleet/requests/tables/PeerRow.h>
 #include <fleet/requests/tables/RequestRow.h>
@@ -17,6 +19,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <string>
 #include <vector>
 
 namespace Greengage {
@@ -25,6 +28,7 @@
 struct RequestTables {
     /// This daemon's identity.
     PeerState self;
+    RequestPolicy policy;
     /// The document in use; null until the first one has been applied.
     std::shared_ptr<const Document> document;
     /// Parts of the document in use, by name.
@@ -53,6 +57,9 @@
     /// Revision of the maintenance ledger that the draining endpoints were taken from.
     std::uint64_t ledgerRevision = 0;
     std::vector<UnknownWork> unknownWork;
+    std::map<ServiceId, RetryBudget> retryBudgets;
+    /// Claims that this daemon has won and not used, by their key in the store, until they are forgotten.
+    std::map<std::string, Deadline> unusedClaims;
     EscrowState escrow;
     bool shuttingDown = false;
     /// Whether a shutdown has nothing left to finish or hand back.
@@ -66,6 +73,7 @@
     const Team* findTeam(const TeamId&) const;
 
     TeamUsage usageOf(const TeamId&) const;
+    bool isAnyWaiting() const;
 };
 
 } // namespace Greengage
--- a/tests/measure/Measure_policy.cpp
+++ b/tests/measure/policy/MeasurePolicy.cpp
@@ -170,7 +170,7 @@
     std::ofstream page(folder + "/policy.md");
     page << "# Policies measured\n\nMade by `scripts/measure policy --seeds " << seeds << "` (seeds 1 to " << seeds
          << ", virtual time, means over seeds; \"worst\" is over all seeds).\nThe scenario is in "
-            "tests/measure/PolicyScenario.h; what is counted is in tests/measure/PolicyFigures.h.\n";
+            "tests/measure/policy/PolicyScenario.h; what is counted is in tests/measure/policy/PolicyFigures.h.\n";
     for (const auto& kind : kinds) {
         auto rows = measureSite(kind, seeds, jobs, only);
         std::ostringstream table;
--- a/tests/measure/Measure_scale.cpp
+++ b/tests/measure/scale/MeasureScale.cpp
@@ -1,4 +1,4 @@
-#include "Chart.h"
+#include <Chart.h>
 
 #include <config/model/Document.h>
 #include <fleet/maintenance/MaintenancePlane.h>
@@ -260,7 +260,7 @@
             "machine of the run, least of "
          << repetitions << " runs; \"growth\" is the exponent from the size above (n log n is about 1.1 to 1.2 here).\n"
          << "Instructions of whole runs of 40 ticks: `scripts/measure-instructions`, figures below if it was run.\n"
-         << "The scenarios are in tests/measure/Measure_scale.cpp.\n\n"
+         << "The scenarios are in tests/measure/scale/MeasureScale.cpp.\n\n"
          << table.str() << "\n![growth](scale.svg)\n";
     writeLineChart(folder + "/scale.svg", "Processor time of a tick", "workers", positions, { placement, wave });
     std::cout << table.str();
