--- a/modules/fleet/placement/model/PlacementProfile.cpp
+++ b/modules/fleet/placement/model/PlacementProfile.cpp
@@ -14,6 +14,7 @@
 {
     PlacementProfile profile;
     profile.shareTolerance = 0.01;
+    profile.headroom = 0.1;
     profile.finishOnDrainWithin = Seconds(60);
     return profile;
 }
--- a/modules/fleet/placement/model/PlacementProfile.h
+++ b/modules/fleet/placement/model/PlacementProfile.h
@@ -9,6 +9,8 @@
 struct PlacementProfile {
     /// How far above its share a team may be, as a part of the fleet, before its work is checkpointed for a team below.
     double shareTolerance = 0.02;
+    /// Part of the fleet that teams above their shares leave free, so that a team below its share starts at once.
+    double headroom = 0;
     /// Which quantile of the actual sizes seen is reserved.
     double sizeQuantile = 0.9;
     /// A task on a draining worker that is expected to end within this time is left to end.
--- a/modules/fleet/placement/systems/JobPlacer.cpp
+++ b/modules/fleet/placement/systems/JobPlacer.cpp
@@ -9,9 +9,10 @@
 {
     if (team.sent >= team.team.limit || team.live.size() >= static_cast<std::size_t>(team.team.limit))
         return false;
-    if (this->tables.profile.borrows)
+    const auto& teams = this->tables.teams;
+    if (teams.usageWith(team, size) <= teams.shareOf(team))
         return true;
-    return this->tables.teams.usageWith(team, size) <= this->tables.teams.shareOf(team);
+    return this->tables.profile.borrows && teams.usageOfAllWith(size) <= 1.0 - this->tables.profile.headroom;
 }
 
 bool JobPlacer::accepts(const WorkerEntry& worker, const JobEntry& entry)
--- a/modules/fleet/placement/systems/JobPlacer.h
+++ b/modules/fleet/placement/systems/JobPlacer.h
@@ -19,7 +19,7 @@
     {
     }
 
-    /// Whether the team's upper limit, and its share when it may not borrow, let it begin the job now.
+    /// Whether the team may begin the job now: its upper limit, its share, and what it may borrow beyond that.
     bool mayBegin(const TeamEntry&, const Resources& size) const;
     /// Begins the job on a worker that has the space. Returns whether it found one.
     bool place(JobEntry&);
--- a/modules/fleet/placement/systems/TeamTable.cpp
+++ b/modules/fleet/placement/systems/TeamTable.cpp
@@ -33,7 +33,9 @@
 {
     this->total = total;
     this->weightSum = 0;
+    this->reserved = {};
     for (const auto& [id, entry] : this->entries) {
+        this->reserved = this->reserved + entry.reserved;
         if (entry.isKnown && (!borrows || entry.isActive()))
             this->weightSum += entry.team.share;
     }
@@ -60,6 +62,7 @@
         return;
     entry.live.insert(attempt.number);
     entry.reserved = entry.reserved + attempt.reserved;
+    this->reserved = this->reserved + attempt.reserved;
 }
 
 void TeamTable::remove(const Attempt& attempt)
@@ -70,6 +73,7 @@
     if (attempt.phase == AttemptPhase::Ending)
         return;
     entry.live.erase(attempt.number);
+    this->reserved = this->reserved - attempt.reserved;
     entry.reserved = entry.live.empty() ? Resources {} : entry.reserved - attempt.reserved;
 }
 
--- a/modules/fleet/placement/systems/TeamTable.h
+++ b/modules/fleet/placement/systems/TeamTable.h
@@ -27,6 +27,8 @@
     /// The part of the whole that it has reserved.
     double usageOf(const TeamEntry& entry) const { return entry.reserved.dominantShareOf(this->total); }
     double usageWith(const TeamEntry&, const Resources& more) const;
+    /// The part of the whole that all teams have reserved.
+    double usageOfAllWith(const Resources& more) const { return (this->reserved + more).dominantShareOf(this->total); }
 
     /// Counts an attempt in or out.
     void add(const Attempt&);
@@ -35,6 +37,7 @@
 private:
     std::map<TeamId, TeamEntry> entries;
     Resources total;
+    Resources reserved;
     double weightSum = 0;
 };
 
--- a/tests/measure/policy/MeasurePolicy.cpp
+++ b/tests/measure/policy/MeasurePolicy.cpp
@@ -63,6 +63,8 @@
         without("tight packing", &PlacementProfile::packsTightly),
         without("share order", &PlacementProfile::ordersByShare),
         without("checkpoint on drain", &PlacementProfile::checkpointsOnDrain) };
+    variants.push_back({ "yard without headroom", PlacementProfile::yard() });
+    variants.back().profile.headroom = 0;
     variants.push_back({ "without drain order", PlacementProfile::workshop(), WaveMode::FixedOrder });
     return variants;
 }
