--- a/modules/platform/store/StoreAnswers.cpp
+++ b/modules/platform/store/StoreAnswers.cpp
@@ -3,6 +3,7 @@
 #include <platform/http/HttpAnswer.h>
 #include <platform/store/StoreEntry.h>
 #include <platform/store/WatchResult.h>
+#include <platform/vms/RebootStatus.h>
 #include <platform/vms/VmRecord.h>
 
 #include <json/json.h>
@@ -13,6 +14,8 @@
 
 namespace {
 
+constexpr int maxNesting = 32;
+
 StoreError malformed(std::string detail) { return { StoreErrorCode::Malformed, 0, std::move(detail) }; }
 
 bool isVersion(const Json::Value& value) { return value.isUInt64(); }
@@ -50,12 +53,18 @@
         return malformed("status " + std::to_string(answer.status));
     Json::CharReaderBuilder builder;
     Json::CharReaderBuilder::strictMode(&builder.settings_);
+    builder["stackLimit"] = maxNesting;
     std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
     Json::Value json;
     std::string errors;
     const char* begin = answer.body.data();
-    if (!reader->parse(begin, begin + answer.body.size(), &json, &errors) || !json.isObject())
-        return malformed("answer is no JSON object");
+    try {
+        if (!reader->parse(begin, begin + answer.body.size(), &json, &errors) || !json.isObject())
+            return malformed("answer is no JSON object");
+    } catch (const Json::Exception& exception) {
+        // jsoncpp throws where the nesting is too deep.
+        return malformed(exception.what());
+    }
     return json;
 }
 
@@ -129,4 +138,11 @@
     return vms;
 }
 
+Result<RebootStatus, StoreError> toRebootStatus(const Json::Value& json)
+{
+    if (!json["operation"].isUInt64() || !json["done"].isBool())
+        return malformed("answer without operation and done");
+    return RebootStatus { json["operation"].asUInt64(), json["done"].asBool() };
+}
+
 } // namespace Greengage::StoreAnswers
