--- a/modules/fleet/placement/systems/JobPlacer.cpp
+++ b/modules/fleet/placement/systems/JobPlacer.cpp
@@ -9,9 +9,10 @@
 {
     if (team.sent >= team.team.limit || team.live.size() >= static_cast<std::size_t>(team.team.limit))
         return false;
-    if (this->tables.profile.borrows)
+    const auto& teams = this->tables.teams;
+    if (teams.usageWith(team, size) <= teams.shareOf(team))
         return true;
-    return this->tables.teams.usageWith(team, size) <= this->tables.teams.shareOf(team);
+    return this->tables.profile.borrows && teams.usageOfAllWith(size) <= 1.0 - this->tables.profile.headroom;
 }
 
 bool JobPlacer::accepts(const WorkerEntry& worker, const JobEntry& entry)
@@ -31,8 +32,11 @@
     auto* worker = this->tables.workers.findFit(size, this->tables.profile.packsTightly,
         [&](const WorkerEntry& candidate) { return accepts(candidate, entry); });
     if (!worker) {
-        if (isPlain && this->unplaceable.size() < 8)
+        if (isPlain) {
+            // Larger sizes need not be remembered beside a smaller one.
+            std::erase_if(this->unplaceable, [&](const Resources& failed) { return size.fitsWithin(failed); });
             this->unplaceable.push_back(size);
+        }
         return false;
     }
     this->tables.begin(entry, worker->record.id, size, false);
--- a/modules/fleet/placement/systems/PlaceSystem.cpp
+++ b/modules/fleet/placement/systems/PlaceSystem.cpp
@@ -72,18 +72,34 @@
     }
 }
 
-/// Places jobs in the order in which they came, whoever submitted them.
+/// Places jobs in the order in which they came, whoever submitted them. As with shares, a team waits for the next tick
+/// when it may not begin a job or several of its jobs have found no place.
 void placeByArrival(PlacementTables& tables, JobPlacer& placer)
 {
-    std::map<std::uint64_t, JobId> arrivals;
-    for (const auto& [id, team] : tables.teams.all()) {
-        for (const auto& queue : team.waiting)
-            arrivals.insert(queue.begin(), queue.end());
-    }
-    for (const auto& [arrival, id] : arrivals) {
-        auto& entry = tables.jobs.at(id);
-        if (placer.mayBegin(tables.teams.entry(entry.job.team), tables.sizeOf(entry)))
-            placer.place(entry);
+    std::map<std::uint64_t, JobId> next;
+    std::map<TeamId, int> failures;
+    auto addNext = [&](TeamEntry& team, std::uint64_t after) {
+        std::pair<std::uint64_t, JobId> first { 0, JobId() };
+        for (const auto& queue : team.waiting) {
+            auto candidate = queue.upper_bound(after);
+            if (candidate != queue.end() && (first.first == 0 || candidate->first < first.first))
+                first = *candidate;
+        }
+        if (first.first != 0)
+            next.insert(first);
+    };
+    for (auto& [id, team] : tables.teams.all())
+        addNext(team, 0);
+    while (!next.empty()) {
+        const auto [arrival, job] = *next.begin();
+        next.erase(next.begin());
+        auto& entry = tables.jobs.at(job);
+        auto& team = tables.teams.entry(entry.job.team);
+        if (!placer.mayBegin(team, tables.sizeOf(entry)))
+            continue;
+        if (!placer.place(entry) && ++failures[entry.job.team] >= maxTriesPerTeam)
+            continue;
+        addNext(team, arrival);
     }
 }
 
@@ -116,9 +132,9 @@
 void sendAwaiting(PlacementTables& tables)
 {
     std::vector<std::uint64_t> withdrawn;
-    for (auto& [number, attempt] : tables.attempts) {
-        if (attempt.phase != AttemptPhase::Awaiting)
-            continue;
+    const auto numbers = tables.awaiting;
+    for (auto number : numbers) {
+        auto& attempt = tables.attempts.at(number);
         const auto* worker = tables.workers.find(attempt.worker);
         const auto& team = tables.teams.entry(attempt.team);
         if (!worker->isListed || worker->record.isDraining || worker->health != WorkerHealth::Healthy)
