--- a/modules/daemon/Daemon.cpp
+++ b/modules/daemon/Daemon.cpp
@@ -119,7 +119,10 @@
 MeshServer::Handlers Daemon::meshHandlers()
 {
     MeshServer::Handlers handlers;
-    handlers.exchangeState = [this](const PeerState&) { return this->plane.describe(BootClock::now()); };
+    handlers.exchangeState = [this](const PeerState& peer) {
+        this->peers.noteApplied(peer.incarnation, peer.appliedRevision);
+        return this->plane.describe(BootClock::now());
+    };
     handlers.currentDocument = [this]() -> const DocumentRecord* {
         const auto& record = this->documents.known().record;
         return record ? &*record : nullptr;
--- a/modules/daemon/peers/PeerExchange.cpp
+++ b/modules/daemon/peers/PeerExchange.cpp
@@ -46,6 +46,10 @@
 {
     this->timer.schedule(exchangeInterval);
     PeerState own = this->handlers.describe();
+    // The answer to a peer's own question carries these; whoever is asked does not rely on what the asker says.
+    own.demand.clear();
+    own.sightings.clear();
+    own.busyDrainingVms.clear();
     for (auto& [address, client] : this->clients)
         this->exchange(*client, own);
 }
--- a/modules/daemon/peers/PeerTable.cpp
+++ b/modules/daemon/peers/PeerTable.cpp
@@ -1,5 +1,7 @@
 #include <daemon/peers/PeerTable.h>
 
+#include <algorithm>
+
 namespace Greengage {
 
 namespace {
@@ -17,6 +19,13 @@
     record = { state, askedAt };
 }
 
+void PeerTable::noteApplied(const IncarnationId& incarnation, std::uint64_t revision)
+{
+    auto found = this->peers.find(incarnation);
+    if (found != this->peers.end())
+        found->second.state.appliedRevision = std::max(found->second.state.appliedRevision, revision);
+}
+
 const PeerRecord* PeerTable::find(const IncarnationId& incarnation) const
 {
     auto found = this->peers.find(incarnation);
--- a/modules/daemon/peers/PeerTable.h
+++ b/modules/daemon/peers/PeerTable.h
@@ -4,6 +4,7 @@
 #include <core/time/Instant.h>
 #include <daemon/peers/PeerRecord.h>
 
+#include <cstdint>
 #include <unordered_map>
 
 namespace Greengage {
@@ -14,6 +15,10 @@
     /// Takes a peer's state from an exchange that began at `askedAt`. Forgets those not heard for long.
     void take(const PeerState&, Instant askedAt);
 
+    /// Takes the revision that a peer says it has applied. A revision once applied stays applied, so it does not matter
+    /// how long the message was under way.
+    void noteApplied(const IncarnationId&, std::uint64_t revision);
+
     /// What is known of an incarnation, or null if it has not been heard.
     const PeerRecord* find(const IncarnationId&) const;
 
--- a/modules/gateway/admin/AdminServer.cpp
+++ b/modules/gateway/admin/AdminServer.cpp
@@ -12,10 +12,10 @@
 
 namespace {
 
-constexpr int maxConnections = 64;
+constexpr int maxConnections = 16;
 constexpr Milliseconds requestTimeout { 30000 };
 constexpr ev_ssize_t maxHeaderBytes = 8 * 1024;
-constexpr ev_ssize_t maxBodyBytes = 4 * 1024 * 1024;
+constexpr ev_ssize_t maxBodyBytes = 2 * 1024 * 1024;
 constexpr int statusUnauthorized = 401;
 constexpr std::string_view bearerPrefix = "Bearer ";
 
--- a/modules/mesh/rpc/LineConnector.cpp
+++ b/modules/mesh/rpc/LineConnector.cpp
@@ -11,9 +11,9 @@
 
 namespace {
 
-constexpr std::size_t maxRequestLineBytes = 1024 * 1024;
+constexpr std::size_t maxRequestLineBytes = 64 * 1024;
 constexpr std::size_t maxWaitingResponseBytes = 4 * 1024 * 1024;
-constexpr std::size_t maxConnections = 512;
+constexpr std::size_t maxConnections = 256;
 constexpr timeval silenceTimeout { 30, 0 };
 
 } // namespace
--- /dev/null
+++ b/tests/measure/daemon/RestMeasurement.cpp
@@ -0,0 +1,110 @@
+#include <measure/daemon/RestMeasurement.h>
+
+#include <tests/site/Site.h>
+
+#include <algorithm>
+#include <sstream>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+namespace Greengage {
+
+namespace {
+
+constexpr int zones = 4;
+constexpr int endpointsPerService = 10;
+constexpr double bytesInMegabyte = 1024 * 1024;
+constexpr double bytesInKilobyte = 1024;
+constexpr double percent = 100;
+/// Time for connections and first exchanges to settle before the window.
+constexpr Seconds settleTime { 2 };
+
+SitePlan makePlan(const RestSize& size)
+{
+    SitePlan plan;
+    plan.zones = zones;
+    plan.daemonZones.clear();
+    for (int daemon = 0; daemon < size.daemons; ++daemon)
+        plan.daemonZones.push_back(1 + daemon % zones);
+    for (int first = 0; first < size.endpoints; first += endpointsPerService) {
+        std::string number = std::to_string(first / endpointsPerService);
+        int count = std::min(endpointsPerService, size.endpoints - first);
+        plan.services.push_back({ "service-" + number, "queue-" + number, "team-0", true, count });
+    }
+    for (int team = 0; team < size.teams; ++team)
+        plan.limits["team-" + std::to_string(team)] = 8;
+    return plan;
+}
+
+/// The sum of all series of one metric.
+double sumOf(const std::string& page, const std::string& metric)
+{
+    double sum = 0;
+    std::istringstream lines(page);
+    for (std::string line; std::getline(lines, line);) {
+        bool isSeries = line.starts_with(metric + " ") || line.starts_with(metric + "{");
+        if (isSeries)
+            sum += std::stod(line.substr(line.rfind(' ') + 1));
+    }
+    return sum;
+}
+
+std::vector<std::string> readPages(Site& site)
+{
+    std::vector<std::string> pages;
+    for (const DaemonPlace& daemon : site.layout().daemons()) {
+        HttpCall call;
+        call.address = daemon.address;
+        call.port = site.layout().callerPort();
+        call.path = "/metrics";
+        auto answer = site.tool().send(call);
+        if (!answer.has_value())
+            throw std::runtime_error("no metrics page from " + daemon.name);
+        pages.push_back(answer.value().body);
+    }
+    return pages;
+}
+
+double growth(const std::vector<std::string>& before, const std::vector<std::string>& after, const std::string& metric)
+{
+    double sum = 0;
+    for (std::size_t index = 0; index < before.size(); ++index)
+        sum += sumOf(after[index], metric) - sumOf(before[index], metric);
+    return sum / static_cast<double>(before.size());
+}
+
+double level(const std::vector<std::string>& pages, const std::string& metric)
+{
+    double sum = 0;
+    for (const std::string& page : pages)
+        sum += sumOf(page, metric);
+    return sum / static_cast<double>(pages.size());
+}
+
+} // namespace
+
+RestCost measureAtRest(const RestSize& size, Seconds window)
+{
+    Site site(makePlan(size));
+    site.startPlatform();
+    site.startDaemons();
+    site.applyDocument();
+    auto never = [] { return false; };
+    site.tool().waitUntil(never, settleTime);
+    Instant beganAt = BootClock::now();
+    auto before = readPages(site);
+    site.tool().waitUntil(never, window);
+    auto after = readPages(site);
+    double seconds = std::chrono::duration<double>(BootClock::now() - beganAt).count();
+    RestCost cost;
+    cost.cpuPercent = growth(before, after, "process_cpu_seconds_total") / seconds * percent;
+    cost.residentMegabytes = level(after, "process_resident_memory_bytes") / bytesInMegabyte;
+    cost.privateMegabytes = level(after, "greengage_private_memory_bytes") / bytesInMegabyte;
+    cost.meshKilobytesPerSecond = growth(before, after, "greengage_mesh_bytes_total") / seconds / bytesInKilobyte;
+    cost.storeCallsPerSecond = growth(before, after, "greengage_store_calls_total") / seconds;
+    site.stopDaemons(Site::waitLimit);
+    return cost;
+}
+
+} // namespace Greengage
