--- a/modules/daemon/Daemon.cpp
+++ b/modules/daemon/Daemon.cpp
@@ -119,10 +119,7 @@
 MeshServer::Handlers Daemon::meshHandlers()
 {
     MeshServer::Handlers handlers;
-    handlers.exchangeState = [this](const PeerState& peer) {
-        this->peers.noteApplied(peer.incarnation, peer.appliedRevision);
-        return this->plane.describe(BootClock::now());
-    };
+    handlers.describe = [this] { return this->plane.describe(BootClock::now()); };
     handlers.currentDocument = [this]() -> const DocumentRecord* {
         const auto& record = this->documents.known().record;
         return record ? &*record : nullptr;
@@ -133,11 +130,9 @@
 PeerExchange::Handlers Daemon::peerHandlers()
 {
     PeerExchange::Handlers handlers;
-    handlers.describe = [this] {
+    handlers.roundBegins = [this] {
         Instant now = BootClock::now();
-        PeerState state = this->plane.describe(now);
-        this->maintenance.push(PeerHeard { state, now });
-        return state;
+        this->maintenance.push(PeerHeard { this->plane.describe(now), now });
     };
     handlers.heard = [this](PeerState state, Instant askedAt) {
         this->peers.take(state, askedAt);
--- a/modules/daemon/peers/PeerExchange.cpp
+++ b/modules/daemon/peers/PeerExchange.cpp
@@ -45,19 +45,15 @@
 void PeerExchange::round()
 {
     this->timer.schedule(exchangeInterval);
-    PeerState own = this->handlers.describe();
-    // The answer to a peer's own question carries these; whoever is asked does not rely on what the asker says.
-    own.demand.clear();
-    own.sightings.clear();
-    own.busyDrainingVms.clear();
+    this->handlers.roundBegins();
     for (auto& [address, client] : this->clients)
-        this->exchange(*client, own);
+        this->exchange(*client);
 }
 
-void PeerExchange::exchange(MeshClient& client, const PeerState& own)
+void PeerExchange::exchange(MeshClient& client)
 {
     Instant askedAt = BootClock::now();
-    client.exchangeState(own, [this, &client, askedAt](Result<PeerState, MeshError> answer) {
+    client.readState([this, &client, askedAt](Result<PeerState, MeshError> answer) {
         if (!answer.has_value())
             return;
         bool isNewer = answer.value().appliedRevision > this->handlers.appliedRevision();
--- a/modules/daemon/peers/PeerTable.cpp
+++ b/modules/daemon/peers/PeerTable.cpp
@@ -1,7 +1,5 @@
 #include <daemon/peers/PeerTable.h>
 
-#include <algorithm>
-
 namespace Greengage {
 
 namespace {
@@ -19,13 +17,6 @@
     record = { state, askedAt };
 }
 
-void PeerTable::noteApplied(const IncarnationId& incarnation, std::uint64_t revision)
-{
-    auto found = this->peers.find(incarnation);
-    if (found != this->peers.end())
-        found->second.state.appliedRevision = std::max(found->second.state.appliedRevision, revision);
-}
-
 const PeerRecord* PeerTable::find(const IncarnationId& incarnation) const
 {
     auto found = this->peers.find(incarnation);
