--- a/modules/fleet/tests/PolicyTargetTests.cpp
+++ b/modules/fleet/tests/PolicyTargetTests.cpp
@@ -40,6 +40,20 @@
     BOOST_TEST(run.usedPercent(7, 5) >= 90.0);
 }
 
+BOOST_AUTO_TEST_CASE(noDaemonIsLeftWithoutUnitsWhileAllAreLoaded)
+{
+    for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+        LimitRun run(LimitSplit::Escrow, 100, seed);
+        run.usedPercent(7, 4);
+        for (const auto& daemon : run.fleet.daemons) {
+            auto told = daemon.plane->describe(run.fleet.clock.current());
+            int running = told.demand.empty() ? 0 : told.demand.front().running;
+            BOOST_TEST(running >= 100 / 7 / 2);
+            BOOST_TEST(running <= 100 / 7 * 2);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(withdrawnKeyStopsWithinFiveSecondsInACutOffZone)
 {
     FleetOptions options;
