--- a/modules/daemon/peers/PeerExchange.h
+++ b/modules/daemon/peers/PeerExchange.h
@@ -22,7 +22,8 @@
 class PeerExchange {
 public:
     struct Handlers {
-        std::function<PeerState()> describe;
+        /// Called before the peers are asked.
+        std::function<void()> roundBegins;
         /// A peer has answered; the exchange began at `askedAt`.
         std::function<void(PeerState, Instant askedAt)> heard;
         std::function<std::uint64_t()> appliedRevision;
@@ -49,7 +50,7 @@
     };
 
     void round();
-    void exchange(MeshClient&, const PeerState& own);
+    void exchange(MeshClient&);
     void fetch(MeshClient&);
 
     event_base& base;
