--- a/tests/demo/Demo.cpp
+++ b/tests/demo/Demo.cpp
@@ -11,7 +11,11 @@
 constexpr Milliseconds beforeWithdrawal { 4000 };
 constexpr Milliseconds loadEndLimit { 40000 };
 constexpr Milliseconds stopLimit { 20000 };
+constexpr Milliseconds waveLimit { 120000 };
 constexpr std::string_view withdrawnKey = "lighting-1";
+constexpr const char* waveName = "kernel";
+constexpr std::string_view waveSection = "\n[wave kernel]\nowner = platform\npools = light-preview\naction = reboot\n"
+                                         "max_concurrent = 2\ndrain_timeout_seconds = 30\n";
 
 void say(const std::string& text)
 {
@@ -33,20 +37,23 @@
 {
     this->startSite();
     this->startLoad();
+    this->startWave();
     std::this_thread::sleep_for(beforeWithdrawal);
     this->withdrawKey();
     if (!this->site.waitForCallers(loadEndLimit)) {
         say("callers have not ended in time");
         return false;
     }
+    bool maintained = this->finishWave();
     bool stopped = this->stopAll();
-    return this->judge() && stopped;
+    return this->judge() && maintained && stopped;
 }
 
 void Demo::startSite()
 {
     this->site.startPlatform();
     say("platform: store and " + std::to_string(this->site.layout().endpoints().size()) + " endpoints of 5 services");
+    this->site.document().append(std::string(waveSection));
     this->site.startDaemons();
     say("daemons: " + std::to_string(this->site.layout().daemons().size()) + " in 4 availability zones");
     this->site.applyAsOperator();
@@ -63,12 +70,25 @@
     say("callers: five queues, each in turn at five times its mean");
 }
 
+void Demo::startWave()
+{
+    this->site.startWaveAsOperator(waveName);
+    say(std::string("wave: ") + waveName + " started by greengagectl, reboots the 8 VMs of pool light-preview");
+}
+
 void Demo::withdrawKey()
 {
     this->site.withdrawAsOperator(std::string(withdrawnKey));
     say("key: " + std::string(withdrawnKey) + " withdrawn by greengagectl");
 }
 
+bool Demo::finishWave()
+{
+    bool done = this->site.waitForWave(waveName, waveLimit);
+    say(std::string("wave: ") + waveName + (done ? " done, every VM rebooted" : " not done in time"));
+    return done;
+}
+
 bool Demo::stopAll()
 {
     bool stopped = this->site.stopDaemons(stopLimit);
--- a/tests/demo/Demo.h
+++ b/tests/demo/Demo.h
@@ -6,8 +6,8 @@
 
 namespace Greengage {
 
-/// One run of a whole site: seven daemons in four availability zones, five services, callers in bursts, a key that is
-/// withdrawn and a graceful stop.
+/// One run of a whole site: seven daemons in four availability zones, five services, callers in bursts, a maintenance
+/// wave, a key that is withdrawn and a graceful stop.
 class Demo {
 public:
     explicit Demo(std::uint64_t seed);
@@ -18,7 +18,9 @@
 private:
     void startSite();
     void startLoad();
+    void startWave();
     void withdrawKey();
+    bool finishWave();
     bool stopAll();
     bool judge() const;
 
--- a/tests/site/Site.cpp
+++ b/tests/site/Site.cpp
@@ -285,6 +285,24 @@
     this->requireOperated({ "key", "withdraw", "--author", "demo", key });
 }
 
+void Site::startWaveAsOperator(const std::string& wave) { this->requireOperated({ "wave", "start", wave }); }
+
+bool Site::waitForWave(const std::string& wave, Milliseconds limit)
+{
+    auto isDone = [&] {
+        auto answer = this->http.send(this->adminCall(0, "/v1/status"));
+        auto status = answer ? parseJsonObject(answer.value().body) : std::nullopt;
+        if (!status)
+            return false;
+        for (const auto& entry : (*status)["waves"]) {
+            if (entry["wave"].asString() == wave && entry["state"].asString() == "done")
+                return true;
+        }
+        return false;
+    };
+    return this->http.waitUntil(isDone, limit);
+}
+
 void Site::controlStore(const Json::Value& settings)
 {
     this->http.post(SiteLayout::storeAddress(), this->places.storeControlPort(), "/control", settings);
--- a/tests/site/Site.h
+++ b/tests/site/Site.h
@@ -57,6 +57,10 @@
     /// They throw if greengagectl does not end with 0.
     void applyAsOperator();
     void withdrawAsOperator(const std::string& key);
+    void startWaveAsOperator(const std::string& wave);
+
+    /// Waits until a daemon's status says that the wave is done; tells whether that came within the limit.
+    bool waitForWave(const std::string& wave, Milliseconds limit);
 
     /// Lists a VM as live or leaving.
     void setVmState(const std::string& vm, const std::string& state);
