--- a/modules/daemon/daemon.h
+++ b/modules/daemon/daemon.h
@@ -3,4 +3,4 @@
 // Dependencies: core, loop, config, platform, metrics, fleet, mesh, gateway, CLI11.
 #pragma once
 
-#include <daemon/Daemon.h>
+#include <daemon/process/Daemon.h>
--- a/modules/daemon/main.cpp
+++ b/modules/daemon/main.cpp
@@ -1,7 +1,7 @@
 #include <config/settings/SettingsParser.h>
 #include <core/log/Log.h>
 #include <core/log/LogLine.h>
-#include <daemon/Daemon.h>
+#include <daemon/process/Daemon.h>
 #include <loop/memory/EventDeleter.h>
 
 #include <CLI/CLI.hpp>
--- a/modules/daemon/Daemon.cpp
+++ b/modules/daemon/process/Daemon.cpp
@@ -1,4 +1,4 @@
-#include <daemon/Daemon.h>
+#include <daemon/process/Daemon.h>
 
 #include <config/document/DocumentCodec.h>
 #include <config/keys/KeyVerifier.h>
--- a/modules/daemon/Daemon.h
+++ b/modules/daemon/process/Daemon.h
@@ -2,7 +2,6 @@
 
 #include <config/settings/DaemonSettings.h>
 #include <core/errors/Result.h>
-#include <daemon/DaemonError.h>
 #include <daemon/admin/AdminApi.h>
 #include <daemon/admin/WaveApi.h>
 #include <daemon/allotments/AllotmentWriter.h>
@@ -16,10 +15,11 @@
 #include <daemon/metrics/RequestObserver.h>
 #include <daemon/peers/PeerExchange.h>
 #include <daemon/peers/PeerTable.h>
+#include <daemon/process/DaemonError.h>
 #include <daemon/vms/VmListReader.h>
 #include <fleet/requests/RequestPlane.h>
-#include <gateway/Gateway.h>
 #include <gateway/admin/AdminServer.h>
+#include <gateway/traffic/Gateway.h>
 #include <mesh/MeshServer.h>
 #include <platform/store/StoreClient.h>
 
--- a/modules/gateway/gateway.h
+++ b/modules/gateway/gateway.h
@@ -3,6 +3,6 @@
 // Dependencies: core, loop, config, the request messages of fleet, libevent (evhttp), jsoncpp.
 #pragma once
 
-#include <gateway/Gateway.h>
 #include <gateway/callers/CallerServer.h>
 #include <gateway/endpoints/EndpointClient.h>
+#include <gateway/traffic/Gateway.h>
--- a/modules/gateway/Gateway.cpp
+++ b/modules/gateway/traffic/Gateway.cpp
@@ -1,4 +1,4 @@
-#include <gateway/Gateway.h>
+#include <gateway/traffic/Gateway.h>
 
 #include <gateway/callers/PendingCall.h>
 
--- a/tests/measure/capacity/CapacityProbe.h
+++ b/tests/measure/capacity/CapacityProbe.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <fleet/requests/RequestPlane.h>
 #include <measure/capacity/FleetSize.h>
 #include <measure/capacity/Reading.h>
 #include <measure/capacity/SyntheticFleet.h>
@@ -22,6 +23,8 @@
     void measureAllotments();
     void measureRequestPlane();
     void measureMaintenancePlane();
+    /// Answers a write of the allotments as a store would that nobody else writes to.
+    static void answerAllotments(RequestPlane&, Instant now, const std::vector<RequestOutput>&);
     void add(const char* part, const char* unit, const char* driver, int driverAmount, double cost);
 
     FleetSize size;
