Plan allotments seldom while nothing changes

Cause: each tick, 20 to 30 times a second, planned the allotments of every team, though at rest the plan changes nothing: a daemon at rest took 0.40% of a core with 4 teams and 1.41% with 200, the whole budget. Ruled out: mesh, store calls and memory, whose slopes against the teams are near zero in the same run; the tick alone in one process took 62 us at 200 teams without live peers, too little, until each live peer's part is counted for each team. Change: after a plan that changed nothing the next comes 250 ms later, or at once when a request waits here or at a peer, on shutdown and while allotments are void or unsettled.

--- a/modules/fleet/requests/limits/EscrowState.h
+++ b/modules/fleet/requests/limits/EscrowState.h
@@ -38,6 +38,8 @@
     int failedWrites = 0;
     Deadline nextWriteAt;
     Deadline nextPlanAt;
+    /// Until then the allotments are planned anew only if somebody waits for units.
+    Deadline quietUntil;
     std::map<TeamId, TeamEscrow> teams;
     std::map<IncarnationId, DeadIncarnation> dead;
     /// When a daemon that shuts down stops waiting for its allotments to be handed back.
--- a/modules/fleet/requests/limits/LimitEscrow.cpp
+++ b/modules/fleet/requests/limits/LimitEscrow.cpp
@@ -18,6 +18,8 @@
 constexpr Milliseconds contactGrace { 2000 };
 constexpr Milliseconds writeInterval { 50 };
 constexpr Milliseconds planInterval { 10 };
+/// How often allotments are planned anew while nobody waits and the last plan changed nothing.
+constexpr Milliseconds quietPlanInterval { 250 };
 constexpr Milliseconds firstRetryDelay { 200 };
 constexpr Milliseconds longestRetryDelay { 2000 };
 constexpr Milliseconds handBackTimeout { 3000 };
@@ -127,10 +129,25 @@
     DeadAllotments(this->tick).askEndpoints();
     bool mayWrite = this->state.readable && !this->state.writeUnderWay && this->tick.tables.document
         && this->state.nextWriteAt.hasPassed(this->tick.now) && this->state.nextPlanAt.hasPassed(this->tick.now);
-    if (mayWrite)
+    if (mayWrite && (this->state.quietUntil.hasPassed(this->tick.now) || this->isWanted()))
         this->write();
 }
 
+bool LimitEscrow::isWanted() const
+{
+    const auto& tables = this->tick.tables;
+    if (tables.shuttingDown || this->state.isVoid || this->state.unsettled)
+        return true;
+    auto waits = [](const auto& entry) { return entry.second.waiting > 0; };
+    if (std::any_of(tables.lines.begin(), tables.lines.end(), waits))
+        return true;
+    auto peerWaits = [](const auto& entry) {
+        const auto& demand = entry.second.state.demand;
+        return std::any_of(demand.begin(), demand.end(), [](const TeamDemand& line) { return line.waiting > 0; });
+    };
+    return std::any_of(tables.peers.begin(), tables.peers.end(), peerWaits);
+}
+
 void LimitEscrow::write()
 {
     const auto& self = this->tick.tables.self.incarnation;
@@ -138,8 +155,10 @@
     auto draft = AllotmentPlan(this->tick).draft();
     DeadAllotments(this->tick).reclaim(draft);
     bool mustWrite = this->state.isVoid || this->state.unsettled;
-    if (draft == this->state.book && !mustWrite)
+    if (draft == this->state.book && !mustWrite) {
+        this->state.quietUntil = Deadline::after(this->tick.now, quietPlanInterval);
         return;
+    }
     for (const auto& team : this->state.book.teamsOf(self)) {
         int units = draft.unitsOf(team, self);
         if (units >= this->state.book.unitsOf(team, self))
--- a/modules/fleet/requests/limits/LimitEscrow.h
+++ b/modules/fleet/requests/limits/LimitEscrow.h
@@ -35,6 +35,8 @@
 private:
     int equalPart(const TeamId&) const;
     bool settlesOlderWrites(const AllotmentsRead&) const;
+    /// Whether units may be needed or are to be handed back before the next quiet plan.
+    bool isWanted() const;
     void write();
     void noteShutdown();
     /// Whether only units of work whose end is not known are left.
