Tell in the status whether keyed queues are served, and what runs where

Cause: status said that keyed queues are refused whenever the store had not answered for 3 s, though they are served while daemons of every zone hear each other; and it showed 0 running requests at every endpoint. Change: both are asked of the request plane.

--- a/modules/daemon/process/Daemon.cpp
+++ b/modules/daemon/process/Daemon.cpp
@@ -24,7 +24,6 @@
 constexpr Milliseconds connectionCloseTimeout { 1000 };
 /// How long a daemon that is to stop goes on accepting callers, while its health page says that it does not serve.
 constexpr Milliseconds announceTime { 1000 };
-constexpr Milliseconds freshConfirmation { 3000 };
 
 CallerLimits toLimits(const CallerSettings& settings)
 {
@@ -302,13 +301,12 @@
 StatusReport Daemon::makeStatus()
 {
     Instant now = BootClock::now();
-    PeerState state = this->plane.describe(now);
     StatusReport report;
     report.daemon = this->self.daemon;
     report.revision = this->documents.known().appliedRevision();
     report.inForceRevision = this->rollout.inForceRevision(report.revision, now);
     report.storeReachable = this->watcher.isReachable();
-    report.fresh = state.knownRevision == state.appliedRevision && state.confirmationAge <= freshConfirmation;
+    report.fresh = this->plane.servesKeyedWork(now);
     report.daemons.push_back({ this->self.daemon, this->self.zone, report.revision, 0 });
     for (const auto& [key, member] : this->members.members()) {
         const PeerRecord* peer = this->peers.find(member.incarnation);
@@ -336,7 +334,7 @@
         if (pool == document->pools.end() || pool->service.isEmpty())
             continue;
         std::string state = draining.contains(vm.id) ? "draining" : std::string(nameOf(vm.state));
-        report.endpoints.push_back({ vm.id, pool->service, state, 0 });
+        report.endpoints.push_back({ vm.id, pool->service, state, this->plane.runningAt(vm.id) });
     }
 }
 
--- a/modules/fleet/requests/RequestPlane.cpp
+++ b/modules/fleet/requests/RequestPlane.cpp
@@ -108,6 +108,20 @@
     return state;
 }
 
+bool RequestPlane::servesKeyedWork(Instant now) const
+{
+    std::vector<RequestOutput> outbox;
+    Tick tick { this->implementation->tables, now, outbox };
+    return FreshnessFence(tick).allowsKeyedWork();
+}
+
+int RequestPlane::runningAt(const VmId& endpoint) const
+{
+    const auto& endpoints = this->implementation->tables.endpoints;
+    auto found = endpoints.find(endpoint);
+    return found == endpoints.end() ? 0 : found->second.running;
+}
+
 bool RequestPlane::isIdle() const { return this->implementation->tables.idle; }
 
 } // namespace Greengage
--- a/modules/fleet/requests/RequestPlane.h
+++ b/modules/fleet/requests/RequestPlane.h
@@ -28,6 +28,12 @@
     /// What to tell peers now.
     PeerState describe(Instant now) const;
 
+    /// Whether keyed queues are served now: the document is known to be current.
+    bool servesKeyedWork(Instant now) const;
+
+    /// How many requests of this daemon an endpoint is running, as far as the daemon knows.
+    int runningAt(const VmId&) const;
+
     /// Whether a shutdown has been asked for and nothing is left to finish or hand back.
     bool isIdle() const;
 
--- a/modules/fleet/tests/ThinPathTests.cpp
+++ b/modules/fleet/tests/ThinPathTests.cpp
@@ -108,6 +108,11 @@
     auto told = this->plane.describe(this->clock.current());
     BOOST_TEST(told.appliedLedgerRevision == 7);
     BOOST_TEST((told.busyDrainingVms == std::vector { VmId("e1") }));
+    BOOST_TEST(this->plane.runningAt(VmId("e1")) == 1);
+    BOOST_TEST(this->plane.runningAt(VmId("e2")) == 1);
+    BOOST_TEST(this->plane.runningAt(VmId("none")) == 0);
+    BOOST_TEST(this->plane.servesKeyedWork(this->clock.current()));
+    BOOST_TEST(!this->plane.servesKeyedWork(this->clock.current() + Seconds(10)));
     auto answer = only<AnswerCaller>(this->tick(ended(attempt, AttemptResult::Answered)));
     BOOST_TEST((answer.outcome == Outcome::Answered));
     BOOST_TEST(this->plane.describe(this->clock.current()).busyDrainingVms.empty());
