Let sites of more than nine daemons start in tests, and measure 12 and 21

Cause: the settings of a test site named all peers in one line; from 12 daemons on it was longer than the 190 bytes that a line of settings may have, the daemon refused its settings, and the measurement said only that it does not answer. Ruled out: a fault of the daemon: its refusal names the line and says to divide the list. Change: one peer an indented line; the measurement goes up to 21 daemons. Proof: settingsOfALargeSiteAreAccepted, seen failing with the one line, now passing.

--- a/tests/measure/daemon/main.cpp
+++ b/tests/measure/daemon/main.cpp
@@ -61,7 +61,8 @@
     CLI11_PARSE(app, argumentCount, arguments);
     Greengage::Seconds window(seconds);
     try {
-        measure("daemons", { { 2, 50, 4 }, { 4, 50, 4 }, { 6, 50, 4 }, { 8, 50, 4 } }, &RestSize::daemons, window);
+        measure("daemons", { { 2, 50, 4 }, { 4, 50, 4 }, { 6, 50, 4 }, { 8, 50, 4 }, { 12, 50, 4 }, { 21, 50, 4 } },
+            &RestSize::daemons, window);
         measure("endpoints", { { 4, 10, 4 }, { 4, 25, 4 }, { 4, 50, 4 }, { 4, 100, 4 } }, &RestSize::endpoints, window);
         measure("teams", { { 4, 50, 4 }, { 4, 50, 50 }, { 4, 50, 100 }, { 4, 50, 200 } }, &RestSize::teams, window);
     } catch (const std::exception& error) {
--- a/tests/site/SiteSettings.cpp
+++ b/tests/site/SiteSettings.cpp
@@ -9,12 +9,13 @@
 
 constexpr const char* operatorSalt = "ffeeddccbbaa99887766554433221100";
 
+/// The other daemons, one an indented line, since a line of settings is bounded.
 std::string peersOf(const SiteLayout& layout, const DaemonPlace& place, std::uint16_t meshPort)
 {
     std::string peers;
     for (const auto& other : layout.daemons()) {
         if (other.name != place.name)
-            peers += fmt::format("{}{}:{}", peers.empty() ? "" : ", ", other.address, meshPort);
+            peers += fmt::format("\n    {}:{}", other.address, meshPort);
     }
     return peers;
 }
@@ -36,7 +37,7 @@
         "\n[admin]\nport = {}\nkey_salt = {}\nkey_digest = {}\n", layout.adminPort(), operatorSalt, digest);
     text += fmt::format("\n[mesh]\nport = {}\nadvertised_port = {}\n", layout.meshPort(), meshPort);
     if (!peers.empty())
-        text += "peers = " + peers + "\n";
+        text += "peers =" + peers + "\n";
     return text + fmt::format("\n[store]\naddress = {}\nport = {}\n", SiteLayout::storeAddress(), storePort);
 }
 
--- a/tests/site/tests/SiteTests.cpp
+++ b/tests/site/tests/SiteTests.cpp
@@ -3,6 +3,7 @@
 #include <config/settings/SettingsParser.h>
 #include <csignal>
 #include <tests/site/Site.h>
+#include <tests/site/SiteSettings.h>
 
 using namespace Greengage;
 
@@ -56,6 +57,18 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(settingsOfALargeSiteAreAccepted)
+{
+    auto plan = SitePlan::workshop();
+    plan.daemonZones.assign(21, 1);
+    SiteLayout layout(plan);
+    for (std::size_t index = 0; index < layout.daemons().size(); ++index) {
+        auto parsed = SettingsParser().parse(SiteSettings::text(layout, index, false));
+        BOOST_REQUIRE_MESSAGE(parsed.has_value(), (parsed ? "" : parsed.error().describe("settings")));
+        BOOST_TEST(parsed.value().mesh.peers.size() == 20U);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(platformStarts)
 {
     auto plan = SitePlan::workshop();
