Take settings of the store and relay stand-ins in one place

Ruled out: the minion's control, which looks alike but answers 404 for an unknown VM. Change: HttpReplies::applySettings holds these lines; each stand-in passes what applies its settings.

--- a/tests/standins/common/HttpReplies.cpp
+++ b/tests/standins/common/HttpReplies.cpp
@@ -6,6 +6,7 @@
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/http.h>
+#include <json/json.h>
 #include <sys/socket.h>
 
 namespace Greengage::HttpReplies {
@@ -52,6 +53,19 @@
     evhttp_send_reply(request, status, status == HTTP_OK ? "OK" : "Refused", nullptr);
 }
 
+void applySettings(evhttp_request* request, const std::function<void(const Json::Value&)>& apply)
+{
+    auto settings = parseJsonObject(body(request));
+    try {
+        if (!settings)
+            throw Json::RuntimeError("body is no JSON object");
+        apply(*settings);
+        json(request, Json::objectValue);
+    } catch (const Json::Exception& error) {
+        text(request, HTTP_BADREQUEST, error.what());
+    }
+}
+
 void closeSilently(Loop& loop, evhttp_request* request)
 {
     auto* connection = evhttp_request_get_connection(request);
--- a/tests/standins/common/HttpReplies.h
+++ b/tests/standins/common/HttpReplies.h
@@ -2,6 +2,7 @@
 
 #include <json/forwards.h>
 
+#include <functional>
 #include <string>
 
 struct evhttp_request;
@@ -22,6 +23,10 @@
 void json(evhttp_request*, const Json::Value&);
 void text(evhttp_request*, int status, const std::string& body);
 
+/// Hands the JSON object in the request's body to `apply` and answers with an empty object, or with status 400 if the
+/// body is no object or `apply` throws a Json::Exception.
+void applySettings(evhttp_request*, const std::function<void(const Json::Value&)>& apply);
+
 /// Closes the request's connection without an answer, from the loop. The request must not be used any more.
 void closeSilently(Loop&, evhttp_request*);
 
--- a/tests/standins/relay/RelayProcess.cpp
+++ b/tests/standins/relay/RelayProcess.cpp
@@ -123,15 +123,7 @@
         HttpReplies::json(request, json);
         return;
     }
-    auto settings = parseJsonObject(HttpReplies::body(request));
-    try {
-        if (!settings)
-            throw Json::RuntimeError("body is no JSON object");
-        this->applyControl(*settings);
-        HttpReplies::json(request, Json::objectValue);
-    } catch (const Json::Exception& error) {
-        HttpReplies::text(request, HTTP_BADREQUEST, error.what());
-    }
+    HttpReplies::applySettings(request, [this](const Json::Value& settings) { this->applyControl(settings); });
 }
 
 void RelayProcess::applyControl(const Json::Value& settings)
--- a/tests/standins/store/StoreService.cpp
+++ b/tests/standins/store/StoreService.cpp
@@ -222,15 +222,7 @@
         HttpReplies::json(request, this->describeCalls());
         return;
     }
-    auto settings = parseJsonObject(HttpReplies::body(request));
-    try {
-        if (!settings)
-            throw Json::RuntimeError("body is no JSON object");
-        this->applyControl(*settings);
-        HttpReplies::json(request, Json::objectValue);
-    } catch (const Json::Exception& error) {
-        HttpReplies::text(request, HTTP_BADREQUEST, error.what());
-    }
+    HttpReplies::applySettings(request, [this](const Json::Value& settings) { this->applyControl(settings); });
 }
 
 void StoreService::applyControl(const Json::Value& settings)
