--- a/cmake/Packages.cmake
+++ b/cmake/Packages.cmake
@@ -24,6 +24,9 @@
 # greengage_test(NAME SOURCES files... [DEPENDS targets...])
 # Declares one Boost.Test program that scripts/test runs. Its tests find golden files below SOURCE_ROOT.
 function(greengage_test name)
+    if(NOT GREENGAGE_TESTS)
+        return()
+    endif()
     cmake_parse_arguments(TEST "" "" "SOURCES;DEPENDS" ${ARGN})
     add_executable(${name} ${TEST_SOURCES})
     target_compile_definitions(${name} PRIVATE
--- a/modules/cli/admin/AdminClient.h
+++ b/modules/cli/admin/AdminClient.h
@@ -6,8 +6,8 @@
 #include <config/settings/SocketAddress.h>
 #include <core/errors/Result.h>
 #include <core/time/Instant.h>
-#include <platform/http/HttpAnswer.h>
-#include <platform/http/HttpClient.h>
+#include <store/http/HttpAnswer.h>
+#include <store/http/HttpClient.h>
 
 #include <string>
 #include <vector>
--- /dev/null
+++ b/modules/coordinator/desk/JobDesk.h
@@ -0,0 +1,136 @@
+#pragma once
+
+#include <coordinator/desk/DeskOutcome.h>
+#include <coordinator/leadership/StoreKeys.h>
+#include <coordinator/placing/EndedJob.h>
+#include <coordinator/store/SharedStore.h>
+#include <core/log/Log.h>
+#include <core/log/LogLine.h>
+#include <core/time/Deadline.h>
+#include <jobs/codec/JobRecordCodec.h>
+#include <jobs/model/JobState.h>
+
+#include <functional>
+#include <memory>
+#include <optional>
+
+namespace Greengage {
+
+/// What a daemon tells a caller about a job.
+struct StateAnswer {
+    DeskOutcome outcome = DeskOutcome::Unknown;
+    /// Only if the outcome is Stored.
+    JobState state = JobState::Waiting;
+};
+
+/// Serves callers from the shared store alone, so that every daemon that reaches the store can: takes submissions and
+/// cancellations, and tells states. A job is stored under its id before it is acknowledged, and only if the id is new,
+/// so a submission that arrives again, at any daemon, stays one job.
+template <SharedStore Store> class JobDesk {
+public:
+    using OutcomeCallback = std::function<void(DeskOutcome)>;
+    using StateCallback = std::function<void(StateAnswer)>;
+
+    explicit JobDesk(Store& store)
+        : store(store)
+    {
+    }
+
+    /// Stores a job. Tries again until `deadline` while the outcome is not known.
+    void submit(const JobRecord& record, Deadline deadline, OutcomeCallback callback)
+    {
+        KvCommit commit;
+        commit.expected = { { StoreKeys::job(record.id), 0 }, { StoreKeys::end(record.id), 0 } };
+        commit.puts = { { StoreKeys::job(record.id), this->codec.encode(record) } };
+        this->commitUntil(std::move(commit), deadline, false, std::move(callback));
+    }
+
+    /// Stores the wish that a job be cancelled.
+    void cancel(const JobId& id, Deadline deadline, OutcomeCallback callback)
+    {
+        this->store.read(StoreKeys::job(id), [this, id, deadline, callback = std::move(callback)](auto result) {
+            if (!result.has_value()) {
+                callback(DeskOutcome::NotStored);
+                return;
+            }
+            if (!result.value()) {
+                this->findEnd(id, [callback](StateAnswer answer) { callback(answer.outcome); });
+                return;
+            }
+            KvCommit commit;
+            commit.expected = { { StoreKeys::job(id), result.value()->revision } };
+            commit.puts = { { StoreKeys::cancellation(id), "{}" } };
+            this->commitUntil(std::move(commit), deadline, false, callback);
+        });
+    }
+
+    void findState(const JobId& id, StateCallback callback)
+    {
+        this->store.list(StoreKeys::job(id), [this, id, callback = std::move(callback)](auto result) {
+            if (!result.has_value()) {
+                callback({ DeskOutcome::Unknown });
+                return;
+            }
+            bool isOpen = false;
+            JobState state = JobState::Waiting;
+            for (const auto& item : result.value().items) {
+                if (item.key == StoreKeys::job(id))
+                    isOpen = true;
+                else if (item.key == StoreKeys::cancellation(id))
+                    state = JobState::Cancelled;
+                else if (item.key == StoreKeys::progress(id) && state != JobState::Cancelled)
+                    state = JobState::Running;
+            }
+            if (isOpen)
+                callback({ DeskOutcome::Stored, state });
+            else
+                this->findEnd(id, callback);
+        });
+    }
+
+private:
+    void findEnd(const JobId& id, StateCallback callback)
+    {
+        this->store.read(StoreKeys::end(id), [id, callback = std::move(callback)](auto result) {
+            if (!result.has_value()) {
+                callback({ DeskOutcome::Unknown });
+                return;
+            }
+            if (!result.value()) {
+                callback({ DeskOutcome::NoSuchJob });
+                return;
+            }
+            auto ended = EndedJob::decode(result.value()->value);
+            if (!ended) {
+                writeLog(LogLevel::Error, LogLine("stored_end_unreadable").add("job", id.string()));
+                callback({ DeskOutcome::Unknown });
+                return;
+            }
+            callback({ DeskOutcome::Stored, ended->state });
+        });
+    }
+
+    /// `mayBeStored` says that an earlier try got no answer. A refused expectation means that the key is there: the job
+    /// was stored by this or an earlier submission, or has ended since.
+    void commitUntil(KvCommit commit, Deadline deadline, bool mayBeStored, OutcomeCallback callback)
+    {
+        this->store.commit(commit, [this, commit, deadline, mayBeStored, callback = std::move(callback)](auto result) {
+            if (result.has_value()) {
+                callback(DeskOutcome::Stored);
+                return;
+            }
+            bool wasRefused = result.error() == KvFailure::Refused;
+            if (wasRefused && !mayBeStored)
+                callback(DeskOutcome::NotStored);
+            else if (wasRefused || deadline.hasPassed(BootClock::now()))
+                callback(DeskOutcome::Unknown);
+            else
+                this->commitUntil(commit, deadline, true, callback);
+        });
+    }
+
+    Store& store;
+    JobRecordCodec codec;
+};
+
+} // namespace Greengage
--- /dev/null
+++ b/modules/coordinator/leadership/StoreKeys.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <core/text/Identifier.h>
+
+#include <string>
+
+namespace Greengage {
+
+/// The keys that this product keeps in the shared store.
+struct StoreKeys {
+    static constexpr const char* leadership = "gg/lead/";
+    /// Who places tasks.
+    static constexpr const char* holder = "gg/lead/holder";
+    /// Rewritten by the holder while it is alive.
+    static constexpr const char* beat = "gg/lead/beat";
+    /// Open jobs, with their cancellation and progress below them.
+    static constexpr const char* jobs = "gg/job/";
+    static constexpr const char* ended = "gg/done/";
+
+    static std::string job(const JobId& id) { return jobs + id.string(); }
+    static std::string cancellation(const JobId& id) { return job(id) + "/cancel"; }
+    static std::string progress(const JobId& id) { return job(id) + "/progress"; }
+    static std::string end(const JobId& id) { return ended + id.string(); }
+};
+
+} // namespace Greengage
--- /dev/null
+++ b/modules/coordinator/store/KvFailure.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <core/text/EnumNames.h>
+
+namespace Greengage {
+
+/// Why a call to the shared store brought no result.
+enum class KvFailure {
+    /// The store or the network refused the call; nothing was done.
+    Refused,
+    /// No answer; a write may have been done, or may be done later.
+    Unanswered,
+    /// The history that a watch asked for is not available any more.
+    HistoryGone,
+    /// The answer could not be understood.
+    Malformed,
+};
+
+template <> struct EnumNames<KvFailure> {
+    static constexpr std::array<std::pair<KvFailure, std::string_view>, 4> table { {
+        { KvFailure::Refused, "refused" },
+        { KvFailure::Unanswered, "unanswered" },
+        { KvFailure::HistoryGone, "history_gone" },
+        { KvFailure::Malformed, "malformed" },
+    } };
+};
+
+} // namespace Greengage
--- a/modules/core/log/Log.cpp
+++ b/modules/core/log/Log.cpp
@@ -29,7 +29,7 @@
 
 void startLog(LogLevel level)
 {
-    auto logger = std::make_shared<spdlog::logger>("greengage", std::make_shared<spdlog::sinks::stderr_sink_st>());
+    auto logger = std::make_shared<spdlog::logger>("greengage", std::make_shared<spdlog::sinks::stdout_sink_st>());
     logger->set_pattern("time=%Y-%m-%dT%H:%M:%S.%eZ level=%l %v", spdlog::pattern_time_type::utc);
     logger->set_level(toSpdlog(level));
     logger->flush_on(spdlog::level::debug);
--- a/modules/core/log/Log.h
+++ b/modules/core/log/Log.h
@@ -24,7 +24,7 @@
     } };
 };
 
-/// Sends log lines to standard error with a UTC time and a level, and drops those below `level`. Call it once, at
+/// Sends log lines to standard output with a UTC time and a level, and drops those below `level`. Call it once, at
 /// start.
 void startLog(LogLevel level);
 
--- a/modules/daemon/admin/AdminApi.cpp
+++ b/modules/daemon/admin/AdminApi.cpp
@@ -9,8 +9,8 @@
 #include <core/time/BootClock.h>
 #include <daemon/admin/DocumentSubmitter.h>
 #include <daemon/configuration/KnownConfiguration.h>
-#include <platform/store/StoreClient.h>
-#include <platform/store/StoreEntry.h>
+#include <store/store/StoreClient.h>
+#include <store/store/StoreEntry.h>
 
 #include <algorithm>
 
--- a/modules/daemon/admin/DocumentSubmitter.cpp
+++ b/modules/daemon/admin/DocumentSubmitter.cpp
@@ -2,9 +2,9 @@
 
 #include <config/document/DocumentCodec.h>
 #include <core/time/BootClock.h>
-#include <platform/store/StoreClient.h>
-#include <platform/store/StoreEntry.h>
-#include <platform/store/StoreWrite.h>
+#include <store/store/StoreClient.h>
+#include <store/store/StoreEntry.h>
+#include <store/store/StoreWrite.h>
 
 #include <chrono>
 
--- a/modules/daemon/admin/WaveApi.cpp
+++ b/modules/daemon/admin/WaveApi.cpp
@@ -5,7 +5,7 @@
 #include <core/text/Digest.h>
 #include <daemon/configuration/KnownConfiguration.h>
 #include <fleet/maintenance/plan/WavePlan.h>
-#include <platform/vms/VmRecord.h>
+#include <store/vms/VmRecord.h>
 
 #include <algorithm>
 
--- a/modules/daemon/allotments/AllotmentWriter.cpp
+++ b/modules/daemon/allotments/AllotmentWriter.cpp
@@ -1,8 +1,8 @@
 #include <daemon/allotments/AllotmentWriter.h>
 
-#include <platform/store/StoreClient.h>
-#include <platform/store/StoreEntry.h>
-#include <platform/store/StoreWrite.h>
+#include <store/store/StoreClient.h>
+#include <store/store/StoreEntry.h>
+#include <store/store/StoreWrite.h>
 
 #include <fleet/requests/messages/UpdateAllotments.h>
 
--- a/modules/daemon/claims/ClaimLease.cpp
+++ b/modules/daemon/claims/ClaimLease.cpp
@@ -1,7 +1,7 @@
 #include <daemon/claims/ClaimLease.h>
 
 #include <core/time/BootClock.h>
-#include <platform/store/StoreClient.h>
+#include <store/store/StoreClient.h>
 
 namespace Greengage {
 
--- a/modules/daemon/claims/ClaimLease.h
+++ b/modules/daemon/claims/ClaimLease.h
@@ -2,7 +2,7 @@
 
 #include <core/errors/Result.h>
 #include <core/time/Deadline.h>
-#include <platform/store/StoreError.h>
+#include <store/store/StoreError.h>
 
 #include <functional>
 #include <string>
--- a/modules/daemon/configuration/StoreWatcher.cpp
+++ b/modules/daemon/configuration/StoreWatcher.cpp
@@ -3,8 +3,8 @@
 #include <core/log/Log.h>
 #include <core/log/LogLine.h>
 #include <core/time/BootClock.h>
-#include <platform/store/StoreClient.h>
-#include <platform/store/WatchResult.h>
+#include <store/store/StoreClient.h>
+#include <store/store/WatchResult.h>
 
 namespace Greengage {
 
--- a/modules/daemon/configuration/StoreWatcher.h
+++ b/modules/daemon/configuration/StoreWatcher.h
@@ -2,7 +2,7 @@
 
 #include <core/time/Instant.h>
 #include <loop/timers/Timer.h>
-#include <platform/store/StoreEntry.h>
+#include <store/store/StoreEntry.h>
 
 #include <functional>
 #include <string>
--- a/modules/daemon/maintenance/MaintenanceDriver.cpp
+++ b/modules/daemon/maintenance/MaintenanceDriver.cpp
@@ -4,10 +4,10 @@
 #include <core/log/LogLine.h>
 #include <core/time/BootClock.h>
 #include <fleet/maintenance/ledger/MaintenanceLedger.h>
-#include <platform/store/StoreClient.h>
-#include <platform/store/StoreEntry.h>
-#include <platform/store/StoreWrite.h>
-#include <platform/vms/RebootStatus.h>
+#include <store/store/StoreClient.h>
+#include <store/store/StoreEntry.h>
+#include <store/store/StoreWrite.h>
+#include <store/vms/RebootStatus.h>
 
 namespace Greengage {
 
--- a/modules/daemon/membership/MemberTable.cpp
+++ b/modules/daemon/membership/MemberTable.cpp
@@ -3,7 +3,7 @@
 #include <core/log/Log.h>
 #include <core/log/LogLine.h>
 #include <daemon/membership/MemberCodec.h>
-#include <platform/store/StoreEntry.h>
+#include <store/store/StoreEntry.h>
 
 namespace Greengage {
 
--- a/modules/daemon/membership/Registration.cpp
+++ b/modules/daemon/membership/Registration.cpp
@@ -3,9 +3,9 @@
 #include <core/log/Log.h>
 #include <core/log/LogLine.h>
 #include <daemon/membership/MemberCodec.h>
-#include <platform/store/StoreClient.h>
-#include <platform/store/StoreEntry.h>
-#include <platform/store/StoreWrite.h>
+#include <store/store/StoreClient.h>
+#include <store/store/StoreEntry.h>
+#include <store/store/StoreWrite.h>
 
 namespace Greengage {
 
--- a/modules/daemon/metrics/DaemonGauges.h
+++ b/modules/daemon/metrics/DaemonGauges.h
@@ -3,7 +3,7 @@
 #include <cstdint>
 #include <vector>
 
-#include <platform/store/StoreCallCount.h>
+#include <store/store/StoreCallCount.h>
 
 namespace Greengage {
 
--- a/modules/daemon/process/Daemon.cpp
+++ b/modules/daemon/process/Daemon.cpp
@@ -9,7 +9,7 @@
 #include <daemon/metrics/DaemonGauges.h>
 #include <fleet/maintenance/ledger/MaintenanceLedger.h>
 #include <metrics/burn/BurnCodec.h>
-#include <platform/store/StoreEntry.h>
+#include <store/store/StoreEntry.h>
 
 #include <fleet/requests/RequestOutput.h>
 
--- a/modules/daemon/process/Daemon.h
+++ b/modules/daemon/process/Daemon.h
@@ -21,7 +21,7 @@
 #include <gateway/admin/AdminServer.h>
 #include <gateway/traffic/Gateway.h>
 #include <mesh/MeshServer.h>
-#include <platform/store/StoreClient.h>
+#include <store/store/StoreClient.h>
 
 #include <functional>
 #include <vector>
--- a/modules/daemon/vms/VmListReader.cpp
+++ b/modules/daemon/vms/VmListReader.cpp
@@ -1,6 +1,6 @@
 #include <daemon/vms/VmListReader.h>
 
-#include <platform/store/StoreClient.h>
+#include <store/store/StoreClient.h>
 
 namespace Greengage {
 
--- a/modules/daemon/vms/VmListReader.h
+++ b/modules/daemon/vms/VmListReader.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <loop/timers/Timer.h>
-#include <platform/vms/VmRecord.h>
+#include <store/vms/VmRecord.h>
 
 #include <functional>
 #include <memory>
--- a/modules/fleet/maintenance/systems/FleetView.h
+++ b/modules/fleet/maintenance/systems/FleetView.h
@@ -4,7 +4,7 @@
 #include <core/time/Instant.h>
 #include <fleet/maintenance/systems/MemberSighting.h>
 #include <fleet/maintenance/systems/VmSighting.h>
-#include <platform/vms/VmRecord.h>
+#include <store/vms/VmRecord.h>
 
 #include <cstdint>
 #include <memory>
--- a/modules/fleet/requests/messages/EndpointsListed.h
+++ b/modules/fleet/requests/messages/EndpointsListed.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <core/text/Identifier.h>
-#include <platform/vms/VmRecord.h>
+#include <store/vms/VmRecord.h>
 
 #include <cstdint>
 #include <set>
--- a/modules/fleet/tests/maintenance/FakeVm.h
+++ b/modules/fleet/tests/maintenance/FakeVm.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <core/time/Instant.h>
-#include <platform/vms/VmRecord.h>
+#include <store/vms/VmRecord.h>
 
 #include <vector>
 
--- a/modules/fleet/tests/maintenance/WavePlanTests.cpp
+++ b/modules/fleet/tests/maintenance/WavePlanTests.cpp
@@ -2,7 +2,7 @@
 
 #include <config/model/Document.h>
 #include <fleet/maintenance/plan/WavePlan.h>
-#include <platform/vms/VmRecord.h>
+#include <store/vms/VmRecord.h>
 
 using namespace Greengage;
 
--- a/modules/fleet/tests/simulation/FakeEndpoint.h
+++ b/modules/fleet/tests/simulation/FakeEndpoint.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <fleet/requests/messages/RunningWork.h>
-#include <platform/vms/VmRecord.h>
+#include <store/vms/VmRecord.h>
 
 #include <cstddef>
 #include <map>
--- a/modules/gateway/callers/OutcomeResponse.h
+++ b/modules/gateway/callers/OutcomeResponse.h
@@ -2,7 +2,7 @@
 
 #include <core/text/Identifier.h>
 #include <gateway/callers/CallerRefusal.h>
-#include <platform/http/HttpHeader.h>
+#include <store/http/HttpHeader.h>
 
 #include <string>
 #include <vector>
--- a/modules/gateway/endpoints/ExchangeRequest.h
+++ b/modules/gateway/endpoints/ExchangeRequest.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <core/time/Deadline.h>
-#include <platform/http/HttpHeader.h>
+#include <store/http/HttpHeader.h>
 
 #include <string>
 #include <vector>
--- /dev/null
+++ b/modules/jobs/board/Attempt.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <core/text/EnumNames.h>
+#include <core/text/Identifier.h>
+#include <core/time/Deadline.h>
+#include <jobs/model/Demand.h>
+#include <jobs/model/TaskName.h>
+
+#include <cstdint>
+#include <string>
+
+namespace Greengage {
+
+enum class AttemptPhase {
+    /// The order to start is under way.
+    Ordered,
+    /// The order got no answer; it may have been carried out, or may be until it expires.
+    Unanswered,
+    Running,
+    /// The worker is to stop it.
+    Stopping,
+};
+
+template <> struct EnumNames<AttemptPhase> {
+    static constexpr std::array<std::pair<AttemptPhase, std::string_view>, 4> table { {
+        { AttemptPhase::Ordered, "ordered" },
+        { AttemptPhase::Unanswered, "unanswered" },
+        { AttemptPhase::Running, "running" },
+        { AttemptPhase::Stopping, "stopping" },
+    } };
+};
+
+/// One start of one task on one worker, from the order until its end is known.
+struct Attempt {
+    TaskName task;
+    std::uint32_t run = 0;
+    AttemptPhase phase = AttemptPhase::Ordered;
+    TeamId team;
+    /// What the attempt takes of the worker's room.
+    Demand occupies;
+    /// What counts against the team's maximum.
+    Demand charged;
+    Instant orderedAt;
+    /// From then on the worker refuses the order as too late.
+    Deadline orderExpires;
+    /// When it was last known to run; reports sent earlier say nothing about it.
+    Instant confirmedAt;
+    /// The worker is known to have carried the order out.
+    bool isAnswered = false;
+    bool fills = false;
+    bool serves = false;
+    bool lasts = false;
+    /// A stop order is under way.
+    bool stopUnderWay = false;
+    /// Not before then is a stop ordered again.
+    Deadline nextStop;
+    std::string checkpoint;
+    int pacePercent = 100;
+    std::int64_t load = 0;
+};
+
+} // namespace Greengage
--- /dev/null
+++ b/modules/jobs/board/JobBoard.cpp
@@ -0,0 +1,262 @@
+#include <jobs/board/JobBoard.h>
+
+#include <algorithm>
+
+namespace Greengage {
+
+namespace {
+
+std::vector<OccurrenceRow> emptyOccurrences(const JobSpec& spec)
+{
+    std::vector<OccurrenceRow> occurrences(std::max<std::uint32_t>(1, spec.occurrences));
+    for (std::size_t index = 0; index < occurrences.size(); ++index) {
+        auto& occurrence = occurrences[index];
+        if (spec.occurrences)
+            occurrence.dueUnixMs = spec.firstDueUnixMs + static_cast<std::int64_t>(index) * spec.intervalMs;
+        for (const auto& step : spec.steps)
+            occurrence.steps.push_back({ std::vector<TaskRow>(step.taskCount) });
+    }
+    return occurrences;
+}
+
+} // namespace
+
+bool JobBoard::addJob(JobRecord record, const JobProgress& progress, bool isInherited)
+{
+    auto [entry, added] = this->jobs.try_emplace(record.id);
+    if (!added)
+        return false;
+    JobRow& job = entry->second;
+    job.record = std::move(record);
+    job.occurrences = emptyOccurrences(job.record.spec);
+    job.isInherited = isInherited;
+    job.hasStarted = !progress.done.empty() || !progress.failedRuns.empty();
+    for (const auto& [task, runs] : progress.failedRuns) {
+        if (auto* row = this->findTask(task))
+            row->failedRuns = runs;
+    }
+    for (const auto& task : progress.done)
+        this->finishTask(job, task);
+    return true;
+}
+
+void JobBoard::endJob(JobRow& job, JobState state)
+{
+    if (job.hasEnded())
+        return;
+    job.state = state;
+    this->markUnrecorded(job);
+    if (!job.activeTasks)
+        return;
+    for (auto& [id, worker] : this->workers) {
+        for (auto& [task, attempt] : worker.attempts) {
+            if (task.job == job.record.id)
+                attempt.phase = AttemptPhase::Stopping;
+        }
+    }
+}
+
+void JobBoard::forgetJob(const JobId& id)
+{
+    auto found = this->jobs.find(id);
+    if (found == this->jobs.end())
+        return;
+    if (found->second.activeTasks) {
+        for (auto& [workerId, worker] : this->workers) {
+            auto attempt = worker.attempts.lower_bound(TaskName { id });
+            while (attempt != worker.attempts.end() && attempt->first.job == id) {
+                Attempt stray = attempt->second;
+                auto next = std::next(attempt);
+                this->releaseAttempt(worker, attempt->first);
+                stray.phase = AttemptPhase::Stopping;
+                worker.occupied += stray.occupies;
+                this->usage[stray.team] += stray.charged;
+                worker.strays.emplace(std::pair(stray.task, stray.run), stray);
+                attempt = next;
+            }
+        }
+    }
+    this->jobs.erase(id);
+    this->unrecorded.erase(id);
+}
+
+TaskRow* JobBoard::findTask(const TaskName& task)
+{
+    auto job = this->jobs.find(task.job);
+    if (job == this->jobs.end() || task.occurrence >= job->second.occurrences.size())
+        return nullptr;
+    auto& steps = job->second.occurrences[task.occurrence].steps;
+    if (task.step >= steps.size() || task.index >= steps[task.step].tasks.size())
+        return nullptr;
+    return &steps[task.step].tasks[task.index];
+}
+
+const StepSpec* JobBoard::findStep(const TaskName& task) const
+{
+    auto job = this->jobs.find(task.job);
+    if (job == this->jobs.end() || task.step >= job->second.record.spec.steps.size())
+        return nullptr;
+    return &job->second.record.spec.steps[task.step];
+}
+
+WorkerRow* JobBoard::findWorker(const WorkerId& id)
+{
+    auto found = this->workers.find(id);
+    return found == this->workers.end() ? nullptr : &found->second;
+}
+
+bool JobBoard::isReady(
+    const JobRow& job, const OccurrenceRow& occurrence, std::uint32_t step, std::int64_t nowUnixMs) const
+{
+    if (nowUnixMs < occurrence.dueUnixMs)
+        return false;
+    const auto& after = job.record.spec.steps[step].after;
+    return std::all_of(after.begin(), after.end(), [&](auto earlier) { return occurrence.steps[earlier].isDone(); });
+}
+
+bool JobBoard::isAccountedFor(const PoolId& pool, Instant now) const
+{
+    if (this->inheritedLeasesOver.hasPassed(now))
+        return true;
+    return std::all_of(this->workers.begin(), this->workers.end(),
+        [&](const auto& entry) { return entry.second.facts.pool != pool || entry.second.isReached; });
+}
+
+Attempt& JobBoard::beginAttempt(
+    WorkerRow& worker, JobRow& job, const TaskName& task, std::uint32_t run, AttemptPhase phase, Instant now)
+{
+    const StepSpec& step = job.record.spec.steps[task.step];
+    TaskRow& row = *this->findTask(task);
+    row.phase = TaskPhase::Active;
+    row.worker = worker.facts.id;
+    row.run = run;
+    this->stepRow(job, task).activeCount += 1;
+    job.activeTasks += 1;
+    job.hasStarted = true;
+    if (job.state == JobState::Waiting)
+        job.state = JobState::Running;
+    Attempt attempt;
+    attempt.task = task;
+    attempt.run = run;
+    attempt.phase = phase;
+    attempt.team = job.record.team;
+    attempt.charged = step.demand;
+    attempt.occupies = step.demand;
+    attempt.fills = step.fills;
+    attempt.serves = step.tailTarget.count() > 0;
+    attempt.lasts = step.lasting;
+    if (step.fills)
+        attempt.occupies.cpuMillis = 0;
+    worker.fillingCount += attempt.fills ? 1 : 0;
+    worker.servingCount += attempt.serves ? 1 : 0;
+    attempt.orderedAt = now;
+    attempt.confirmedAt = now;
+    worker.occupied += attempt.occupies;
+    this->usage[attempt.team] += attempt.charged;
+    return worker.attempts[task] = attempt;
+}
+
+void JobBoard::releaseAttempt(WorkerRow& worker, const TaskName& task)
+{
+    auto found = worker.attempts.find(task);
+    if (found == worker.attempts.end())
+        return;
+    const Attempt& attempt = found->second;
+    worker.occupied -= attempt.occupies;
+    worker.fillingCount -= attempt.fills ? 1 : 0;
+    worker.servingCount -= attempt.serves ? 1 : 0;
+    this->usage[attempt.team] -= attempt.charged;
+    TaskRow* row = this->findTask(task);
+    if (row && row->phase == TaskPhase::Active && row->worker == worker.facts.id && row->run == attempt.run) {
+        JobRow& job = this->jobs.at(task.job);
+        row->phase = TaskPhase::Waiting;
+        row->checkpoint = attempt.checkpoint.empty() ? row->checkpoint : attempt.checkpoint;
+        this->stepRow(job, task).activeCount -= 1;
+        job.activeTasks -= 1;
+    }
+    worker.attempts.erase(found);
+}
+
+void JobBoard::finishTask(JobRow& job, const TaskName& task)
+{
+    TaskRow* row = this->findTask(task);
+    if (!row || row->phase == TaskPhase::Done)
+        return;
+    StepRow& step = this->stepRow(job, task);
+    if (row->phase == TaskPhase::Active) {
+        step.activeCount -= 1;
+        job.activeTasks -= 1;
+    }
+    row->phase = TaskPhase::Done;
+    step.doneCount += 1;
+    if (!step.isDone())
+        return;
+    OccurrenceRow& occurrence = job.occurrences[task.occurrence];
+    occurrence.doneSteps += 1;
+    if (occurrence.doneSteps < occurrence.steps.size())
+        return;
+    job.doneOccurrences += 1;
+    if (job.doneOccurrences == job.occurrences.size())
+        this->endJob(job, JobState::Completed);
+}
+
+void JobBoard::countFailure(JobRow& job, const TaskName& task, std::uint32_t run, const WorkerId& worker)
+{
+    TaskRow* row = this->findTask(task);
+    if (!row || row->phase == TaskPhase::Done || job.record.spec.steps[task.step].lasting)
+        return;
+    if (!row->failedRuns.insert(run).second)
+        return;
+    row->failedOn = worker;
+    this->markUnrecorded(job);
+    auto queue = this->policies->queues.find(job.record.queue);
+    if (queue != this->policies->queues.end() && row->failedRuns.size() >= queue->second.maxAttempts)
+        this->endJob(job, JobState::Failed);
+}
+
+void JobBoard::markUnrecorded(JobRow& job)
+{
+    job.isUnrecorded = true;
+    this->unrecorded.insert(job.record.id);
+}
+
+void JobBoard::clearWorker(WorkerRow& worker)
+{
+    while (!worker.attempts.empty()) {
+        TaskName task = worker.attempts.begin()->first;
+        this->releaseAttempt(worker, task);
+    }
+    for (const auto& [key, stray] : worker.strays)
+        this->usage[stray.team] -= stray.charged;
+    worker.strays.clear();
+    worker.occupied = {};
+    worker.endsSeen = 0;
+    worker.endsRecorded = 0;
+    worker.isReached = false;
+}
+
+JobProgress JobBoard::progressOf(const JobRow& job) const
+{
+    JobProgress progress;
+    for (std::uint32_t occurrence = 0; occurrence < job.occurrences.size(); ++occurrence) {
+        const auto& steps = job.occurrences[occurrence].steps;
+        for (std::uint32_t step = 0; step < steps.size(); ++step) {
+            for (std::uint32_t index = 0; index < steps[step].tasks.size(); ++index) {
+                const TaskRow& task = steps[step].tasks[index];
+                TaskName name { job.record.id, occurrence, step, index };
+                if (task.phase == TaskPhase::Done)
+                    progress.done.insert(name);
+                else if (!task.failedRuns.empty())
+                    progress.failedRuns.emplace(name, task.failedRuns);
+            }
+        }
+    }
+    return progress;
+}
+
+StepRow& JobBoard::stepRow(JobRow& job, const TaskName& task)
+{
+    return job.occurrences[task.occurrence].steps[task.step];
+}
+
+} // namespace Greengage
--- /dev/null
+++ b/modules/jobs/board/JobBoard.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include <core/time/Instant.h>
+#include <jobs/board/JobRow.h>
+#include <jobs/board/WorkerRow.h>
+#include <jobs/model/JobPolicies.h>
+#include <jobs/model/JobProgress.h>
+
+#include <memory>
+#include <set>
+#include <unordered_map>
+
+namespace Greengage {
+
+/// The tables of the daemon that places tasks: jobs that have not ended, workers, and the attempts that bind the two.
+/// Its functions keep the tables consistent with each other; systems decide what to do.
+class JobBoard {
+public:
+    std::unordered_map<JobId, JobRow> jobs;
+    std::unordered_map<WorkerId, WorkerRow> workers;
+    std::shared_ptr<const JobPolicies> policies = std::make_shared<JobPolicies>();
+    /// Jobs whose stored progress is behind, or that have ended and are still stored as open.
+    std::set<JobId> unrecorded;
+    /// What each team has on workers.
+    std::unordered_map<TeamId, Demand> usage;
+    /// Attempt numbers below this one may have been used by an earlier placing daemon.
+    std::uint32_t lowestRun = 1;
+    /// Until then, a worker that has not been reached may still run what an earlier placing daemon started.
+    Deadline inheritedLeasesOver;
+
+    /// Adds a job. Returns false if it is there already.
+    bool addJob(JobRecord, const JobProgress&, bool isInherited);
+
+    /// Ends a job: nothing of it starts any more, and what runs is stopped.
+    void endJob(JobRow&, JobState);
+
+    /// Forgets a job that has ended and is stored as ended. What still runs of it becomes a stray of its worker.
+    void forgetJob(const JobId&);
+
+    /// The task's row; null if the job is not here or has no such task.
+    TaskRow* findTask(const TaskName&);
+    const StepSpec* findStep(const TaskName&) const;
+    WorkerRow* findWorker(const WorkerId&);
+
+    /// Whether the task's turn has come: the steps that it follows are done, and it is due.
+    bool isReady(const JobRow&, const OccurrenceRow&, std::uint32_t step, std::int64_t nowUnixMs) const;
+
+    /// Whether every worker that may run the pool's inherited tasks has been reached or holds no lease any more.
+    bool isAccountedFor(const PoolId&, Instant now) const;
+
+    /// Binds a waiting task to a worker.
+    Attempt& beginAttempt(WorkerRow&, JobRow&, const TaskName&, std::uint32_t run, AttemptPhase, Instant now);
+
+    /// Removes an attempt; its task waits again unless it is done.
+    void releaseAttempt(WorkerRow&, const TaskName&);
+
+    /// Marks a task as done. Its job is completed if it was the last one.
+    void finishTask(JobRow&, const TaskName&);
+
+    /// Counts a failed attempt once, however often it is reported. The job fails if the task has failed as often as its
+    /// queue allows.
+    void countFailure(JobRow&, const TaskName&, std::uint32_t run, const WorkerId&);
+
+    /// Marks the job's stored progress as behind.
+    void markUnrecorded(JobRow&);
+
+    /// Releases all that a worker held, because that life of it is over, and forgets its reported ends.
+    void clearWorker(WorkerRow&);
+
+    /// What has to be stored of the job.
+    JobProgress progressOf(const JobRow&) const;
+
+private:
+    StepRow& stepRow(JobRow&, const TaskName&);
+};
+
+} // namespace Greengage
--- /dev/null
+++ b/modules/jobs/board/JobRow.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include <core/time/Deadline.h>
+#include <jobs/model/JobRecord.h>
+#include <jobs/model/JobState.h>
+
+#include <cstdint>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace Greengage {
+
+enum class TaskPhase {
+    Waiting,
+    /// An attempt exists, in whatever phase.
+    Active,
+    Done,
+};
+
+struct TaskRow {
+    TaskPhase phase = TaskPhase::Waiting;
+    /// Where the current attempt is, if the task is active.
+    WorkerId worker;
+    std::uint32_t run = 0;
+    std::set<std::uint32_t> failedRuns;
+    std::string checkpoint;
+    /// The worker of the latest failed attempt, which is tried again last.
+    WorkerId failedOn;
+};
+
+struct StepRow {
+    std::vector<TaskRow> tasks;
+    std::uint32_t doneCount = 0;
+    std::uint32_t activeCount = 0;
+
+    bool isDone() const { return this->doneCount == this->tasks.size(); }
+    std::uint32_t waitingCount() const
+    {
+        return static_cast<std::uint32_t>(this->tasks.size()) - this->doneCount - this->activeCount;
+    }
+};
+
+struct OccurrenceRow {
+    std::int64_t dueUnixMs = 0;
+    std::vector<StepRow> steps;
+    std::uint32_t doneSteps = 0;
+};
+
+/// What is known of one job that has not ended.
+struct JobRow {
+    JobRecord record;
+    std::vector<OccurrenceRow> occurrences;
+    std::uint32_t activeTasks = 0;
+    std::uint32_t doneOccurrences = 0;
+    /// Waiting or Running until the job has ended.
+    JobState state = JobState::Waiting;
+    /// An earlier placing daemon may have started tasks of the job on workers that have not been heard since.
+    bool isInherited = false;
+    /// The stored progress is behind what is known.
+    bool isUnrecorded = false;
+    /// The store's revision of the job's record.
+    std::int64_t recordRevision = 0;
+    /// The store's revision of the stored progress, 0 if there is none.
+    std::int64_t progressRevision = 0;
+    /// Whether any task of the job has ever been started, as far as is known.
+    bool hasStarted = false;
+
+    bool hasEnded() const { return this->state != JobState::Waiting && this->state != JobState::Running; }
+};
+
+} // namespace Greengage
--- /dev/null
+++ b/modules/jobs/codec/JobProgressCodec.cpp
@@ -0,0 +1,59 @@
+#include <jobs/codec/JobProgressCodec.h>
+
+#include <jobs/codec/CompactJson.h>
+
+namespace Greengage {
+
+namespace {
+
+/// A task within its job: the task's text form without the job.
+std::string suffixOf(const TaskName& task)
+{
+    return std::to_string(task.occurrence) + '.' + std::to_string(task.step) + '.' + std::to_string(task.index);
+}
+
+} // namespace
+
+std::string JobProgressCodec::encode(const JobProgress& progress) const
+{
+    Json::Value value(Json::objectValue);
+    for (const auto& task : progress.done)
+        value["done"].append(suffixOf(task));
+    for (const auto& [task, runs] : progress.failedRuns) {
+        for (auto run : runs)
+            value["failedRuns"][suffixOf(task)].append(run);
+    }
+    return toCompactJson(value);
+}
+
+std::optional<JobProgress> JobProgressCodec::decode(const JobId& job, std::string_view text) const
+{
+    auto value = parseJsonObject(text);
+    if (!value)
+        return std::nullopt;
+    auto parse = [&job](const std::string& suffix) { return TaskName::parse(job.string() + '.' + suffix); };
+    JobProgress progress;
+    try {
+        const Json::Value& source = *value;
+        for (const auto& suffix : source["done"]) {
+            auto task = parse(suffix.asString());
+            if (!task)
+                return std::nullopt;
+            progress.done.insert(*task);
+        }
+        const Json::Value& failures = source["failedRuns"];
+        for (auto entry = failures.begin(); entry != failures.end(); ++entry) {
+            auto task = parse(entry.name());
+            if (!task)
+                return std::nullopt;
+            for (const auto& run : *entry)
+                progress.failedRuns[*task].insert(run.asUInt());
+        }
+    } catch (const Json::Exception&) {
+        // A field of another type: the text is not ours.
+        return std::nullopt;
+    }
+    return progress;
+}
+
+} // namespace Greengage
--- /dev/null
+++ b/modules/jobs/model/JobRecord.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <core/text/Identifier.h>
+#include <jobs/model/JobSpec.h>
+
+#include <cstdint>
+
+namespace Greengage {
+
+/// An accepted job as it is stored.
+struct JobRecord {
+    JobId id;
+    QueueId queue;
+    /// Empty for a job on a queue that is open to all.
+    TeamId team;
+    /// When a daemon received the submission, by that daemon's time of day.
+    std::int64_t receivedUnixMs = 0;
+    JobSpec spec;
+};
+
+} // namespace Greengage
--- /dev/null
+++ b/modules/jobs/systems/PlacementSystem.cpp
@@ -0,0 +1,266 @@
+#include <jobs/systems/PlacementSystem.h>
+
+#include <jobs/board/JobBoard.h>
+#include <jobs/systems/JobObjective.h>
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace Greengage {
+
+namespace {
+
+bool hasLabel(const WorkerRow& worker, const std::string& label)
+{
+    const auto& labels = worker.facts.labels;
+    return std::find(labels.begin(), labels.end(), label) != labels.end();
+}
+
+std::uint32_t siblingsOn(const WorkerRow& worker, const TaskName& task)
+{
+    std::uint32_t count = 0;
+    auto attempt = worker.attempts.lower_bound(TaskName { task.job, task.occurrence, task.step, 0 });
+    for (; attempt != worker.attempts.end(); ++attempt, ++count) {
+        const TaskName& other = attempt->first;
+        if (other.job != task.job || other.occurrence != task.occurrence || other.step != task.step)
+            break;
+    }
+    return count;
+}
+
+bool takesWork(const WorkerRow& worker, Instant now)
+{
+    return worker.isListed && worker.isReached && !worker.isSuspect && !worker.facts.draining && !worker.isEvacuating
+        && worker.setAsideUntil.hasPassed(now);
+}
+
+/// In which order jobs get room; smaller goes first.
+enum class Urgency {
+    Lasting,
+    OnTime,
+    Late,
+};
+
+} // namespace
+
+struct PlacementSystem::Candidate {
+    JobRow* job;
+    Urgency urgency;
+    int priority;
+    std::int64_t order;
+};
+
+std::vector<StartOrder> PlacementSystem::place(Instant now, std::int64_t nowUnixMs)
+{
+    this->orders.clear();
+    this->reserveInherited(now, nowUnixMs);
+    std::unordered_map<PoolId, Workers> pools;
+    for (auto& [id, worker] : this->board.workers) {
+        if (takesWork(worker, now))
+            pools[worker.facts.pool].push_back(&worker);
+    }
+    auto candidates = this->collect(now, nowUnixMs);
+    std::sort(candidates.begin(), candidates.end(), [](const Candidate& left, const Candidate& right) {
+        return std::tuple(left.urgency, left.priority, left.order, left.job->record.id)
+            < std::tuple(right.urgency, right.priority, right.order, right.job->record.id);
+    });
+    for (const auto& candidate : candidates) {
+        const auto& queue = this->board.policies->queues.at(candidate.job->record.queue);
+        auto workers = pools.find(queue.pool);
+        if (workers != pools.end())
+            this->placeJob(*candidate.job, workers->second, now, nowUnixMs);
+    }
+    return std::exchange(this->orders, {});
+}
+
+std::vector<PlacementSystem::Candidate> PlacementSystem::collect(Instant now, std::int64_t nowUnixMs) const
+{
+    std::unordered_map<PoolId, bool> accountedFor;
+    std::vector<Candidate> candidates;
+    for (auto& [id, job] : this->board.jobs) {
+        if (job.hasEnded())
+            continue;
+        auto queue = this->board.policies->queues.find(job.record.queue);
+        if (queue == this->board.policies->queues.end())
+            continue;
+        bool hasWaiting = std::any_of(job.occurrences.begin(), job.occurrences.end(), [](const auto& occurrence) {
+            return std::any_of(occurrence.steps.begin(), occurrence.steps.end(),
+                [](const StepRow& step) { return step.waitingCount() > 0; });
+        });
+        if (!hasWaiting)
+            continue;
+        if (job.isInherited) {
+            auto [entry, isNew] = accountedFor.try_emplace(queue->second.pool);
+            if (isNew)
+                entry->second = this->board.isAccountedFor(queue->second.pool, now);
+            bool isSpeculative = std::all_of(job.record.spec.steps.begin(), job.record.spec.steps.end(),
+                [](const StepSpec& step) { return step.speculative; });
+            if (!entry->second && !isSpeculative)
+                continue;
+        }
+        Candidate candidate { &job, Urgency::OnTime, queue->second.priority, 0 };
+        JobObjective objective(job, queue->second);
+        if (job.record.spec.steps.front().lasting) {
+            candidate.urgency = Urgency::Lasting;
+            candidate.order = job.record.receivedUnixMs;
+        } else if (objective.canBeOnTime(nowUnixMs))
+            candidate.order = objective.latestStartUnixMs();
+        else {
+            candidate.urgency = Urgency::Late;
+            candidate.order = job.record.receivedUnixMs;
+        }
+        candidates.push_back(candidate);
+    }
+    return candidates;
+}
+
+void PlacementSystem::placeJob(JobRow& job, const Workers& workers, Instant now, std::int64_t nowUnixMs)
+{
+    for (std::uint32_t occurrence = 0; occurrence < job.occurrences.size(); ++occurrence) {
+        auto& row = job.occurrences[occurrence];
+        for (std::uint32_t step = 0; step < row.steps.size(); ++step) {
+            if (!row.steps[step].waitingCount() || !this->board.isReady(job, row, step, nowUnixMs))
+                continue;
+            if (job.record.spec.steps[step].gang)
+                this->placeGang(job, occurrence, step, workers, now);
+            else
+                this->placeStep(job, occurrence, step, workers, now);
+        }
+    }
+}
+
+void PlacementSystem::placeStep(
+    JobRow& job, std::uint32_t occurrence, std::uint32_t step, const Workers& workers, Instant now)
+{
+    const StepSpec& spec = job.record.spec.steps[step];
+    auto& tasks = job.occurrences[occurrence].steps[step].tasks;
+    for (std::uint32_t index = 0; index < tasks.size(); ++index) {
+        if (tasks[index].phase != TaskPhase::Waiting)
+            continue;
+        if (!this->isWithinMaximum(job, spec.demand))
+            return;
+        TaskName name { job.record.id, occurrence, step, index };
+        WorkerRow* worker = this->choose(spec, name, workers, tasks[index].failedOn);
+        if (!worker)
+            return;
+        this->begin(job, name, *worker, std::max(this->board.lowestRun, tasks[index].run + 1), now);
+    }
+}
+
+void PlacementSystem::placeGang(
+    JobRow& job, std::uint32_t occurrence, std::uint32_t step, const Workers& workers, Instant now)
+{
+    const StepSpec& spec = job.record.spec.steps[step];
+    auto& row = job.occurrences[occurrence].steps[step];
+    if (row.waitingCount() != row.tasks.size())
+        return;
+    std::uint32_t run = this->board.lowestRun;
+    std::string checkpoint;
+    for (const auto& task : row.tasks) {
+        run = std::max(run, task.run + 1);
+        if (checkpoint.empty())
+            checkpoint = task.checkpoint;
+    }
+    std::size_t firstOrder = this->orders.size();
+    for (std::uint32_t index = 0; index < row.tasks.size(); ++index) {
+        TaskName name { job.record.id, occurrence, step, index };
+        WorkerRow* worker = this->isWithinMaximum(job, spec.demand)
+            ? this->choose(spec, name, workers, row.tasks[index].failedOn)
+            : nullptr;
+        if (!worker) {
+            // All members start together or none does.
+            for (std::size_t order = firstOrder; order < this->orders.size(); ++order)
+                this->board.releaseAttempt(
+                    this->board.workers.at(this->orders[order].worker), this->orders[order].task);
+            this->orders.resize(firstOrder);
+            return;
+        }
+        row.tasks[index].checkpoint = checkpoint;
+        this->begin(job, name, *worker, run, now);
+    }
+}
+
+WorkerRow* PlacementSystem::choose(
+    const StepSpec& step, const TaskName& task, const Workers& workers, const WorkerId& failedOn) const
+{
+    Demand needed = step.demand;
+    if (step.fills)
+        needed.cpuMillis = 0;
+    WorkerRow* best = nullptr;
+    std::tuple<bool, bool, bool, std::uint32_t, std::int64_t> bestRank;
+    for (WorkerRow* worker : workers) {
+        Demand room = worker->facts.capacity - worker->occupied;
+        if (!needed.fitsIn(room))
+            continue;
+        if (!step.requiredLabel.empty() && !hasLabel(*worker, step.requiredLabel))
+            continue;
+        std::uint32_t siblings = siblingsOn(*worker, task);
+        if (step.perWorkerLimit && siblings >= step.perWorkerLimit)
+            continue;
+        bool disturbs = step.fills ? worker->servingCount > 0 : step.tailTarget.count() && worker->fillingCount > 0;
+        bool isFar = !step.preferredRack.empty() && !hasLabel(*worker, step.preferredRack);
+        std::tuple rank(worker->facts.id == failedOn, disturbs, isFar, step.lasting ? siblings : 0U, -room.cpuMillis);
+        if (!best || rank < bestRank) {
+            best = worker;
+            bestRank = rank;
+        }
+    }
+    return best;
+}
+
+bool PlacementSystem::isWithinMaximum(const JobRow& job, const Demand& demand) const
+{
+    auto team = this->board.policies->teams.find(job.record.team);
+    if (team == this->board.policies->teams.end())
+        return true;
+    Demand use = demand;
+    if (auto found = this->board.usage.find(job.record.team); found != this->board.usage.end())
+        use += found->second;
+    if (auto found = this->inheritedUse.find(job.record.team); found != this->inheritedUse.end())
+        use += found->second;
+    auto isWithin = [](std::int64_t used, std::int64_t maximum) { return !maximum || used <= maximum; };
+    const Demand& maximum = team->second.maximum;
+    return isWithin(use.cpuMillis, maximum.cpuMillis) && isWithin(use.memoryMegabytes, maximum.memoryMegabytes)
+        && isWithin(use.accelerators, maximum.accelerators);
+}
+
+void PlacementSystem::reserveInherited(Instant now, std::int64_t nowUnixMs)
+{
+    this->inheritedUse.clear();
+    if (this->board.inheritedLeasesOver.hasPassed(now))
+        return;
+    std::unordered_map<PoolId, bool> accountedFor;
+    for (const auto& [id, job] : this->board.jobs) {
+        if (!job.isInherited || job.hasEnded())
+            continue;
+        auto queue = this->board.policies->queues.find(job.record.queue);
+        if (queue == this->board.policies->queues.end())
+            continue;
+        auto [entry, isNew] = accountedFor.try_emplace(queue->second.pool);
+        if (isNew)
+            entry->second = this->board.isAccountedFor(queue->second.pool, now);
+        if (entry->second)
+            continue;
+        for (const auto& occurrence : job.occurrences) {
+            for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
+                if (!this->board.isReady(job, occurrence, step, nowUnixMs))
+                    continue;
+                const Demand& demand = job.record.spec.steps[step].demand;
+                for (std::uint32_t count = occurrence.steps[step].waitingCount(); count > 0; --count)
+                    this->inheritedUse[job.record.team] += demand;
+            }
+        }
+    }
+}
+
+void PlacementSystem::begin(JobRow& job, const TaskName& task, WorkerRow& worker, std::uint32_t run, Instant now)
+{
+    Attempt& attempt = this->board.beginAttempt(worker, job, task, run, AttemptPhase::Ordered, now);
+    attempt.checkpoint = this->board.findTask(task)->checkpoint;
+    attempt.orderExpires
+        = Deadline::after(now, orderValidFor + orderValidFor * workerClockSlackPercent / 100 + Milliseconds(100));
+    this->orders.push_back({ worker.facts.id, task, run });
+}
+
+} // namespace Greengage
--- /dev/null
+++ b/modules/jobs/systems/StartOrder.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <core/text/Identifier.h>
+#include <jobs/model/TaskName.h>
+
+#include <cstdint>
+
+namespace Greengage {
+
+/// A decision to start a task on a worker. The attempt is on the board already.
+struct StartOrder {
+    WorkerId worker;
+    TaskName task;
+    std::uint32_t run = 0;
+};
+
+} // namespace Greengage
--- a/modules/platform/http/HttpAnswer.cpp
+++ b/modules/store/http/HttpAnswer.cpp
@@ -1,4 +1,4 @@
-#include <platform/http/HttpAnswer.h>
+#include <store/http/HttpAnswer.h>
 
 #include <algorithm>
 #include <cctype>
--- a/modules/platform/http/HttpAnswer.h
+++ b/modules/store/http/HttpAnswer.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <platform/http/HttpHeader.h>
+#include <store/http/HttpHeader.h>
 
 #include <string>
 #include <string_view>
--- a/modules/platform/http/HttpCall.h
+++ b/modules/store/http/HttpCall.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <core/time/Instant.h>
-#include <platform/http/HttpHeader.h>
+#include <store/http/HttpHeader.h>
 
 #include <cstdint>
 #include <string>
--- a/modules/platform/http/HttpClient.cpp
+++ b/modules/store/http/HttpClient.cpp
@@ -1,17 +1,19 @@
-#include <platform/http/HttpClient.h>
+#include <store/http/HttpClient.h>
 
-#include <platform/http/HttpConnection.h>
-#include <platform/http/HttpExchange.h>
+#include <store/http/HttpConnection.h>
+#include <store/http/HttpExchange.h>
 
-#include <algorithm>
+#include <map>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace Greengage {
 
 namespace {
 
-constexpr std::size_t maxIdleConnections = 64;
+/// Idle connections kept to one address.
+constexpr std::size_t maxIdlePerAddress = 16;
 
 } // namespace
 
@@ -38,12 +40,11 @@
 private:
     std::unique_ptr<HttpConnection> connectionFor(const HttpCall& call)
     {
-        auto leadsThere = [&call](const auto& connection) { return connection->leadsTo(call.address, call.port); };
-        auto found = std::find_if(this->idle.begin(), this->idle.end(), leadsThere);
-        if (found == this->idle.end() || call.freshConnection)
+        auto found = this->idle.find({ call.address, call.port });
+        if (found == this->idle.end() || found->second.empty() || call.freshConnection)
             return std::make_unique<HttpConnection>(this->base, this->sourceAddress, call.address, call.port);
-        auto connection = std::move(*found);
-        this->idle.erase(found);
+        auto connection = std::move(found->second.back());
+        found->second.pop_back();
         return connection;
     }
 
@@ -52,8 +53,11 @@
         auto entry = this->exchanges.extract(&exchange);
         auto outcome = exchange.takeOutcome();
         auto connection = exchange.takeReusableConnection();
-        if (connection && this->idle.size() < maxIdleConnections)
-            this->idle.push_back(std::move(connection));
+        if (connection) {
+            auto& kept = this->idle[{ connection->remoteAddress(), connection->remotePort() }];
+            if (kept.size() < maxIdlePerAddress)
+                kept.push_back(std::move(connection));
+        }
         entry = {};
         // The callback comes last because it may destroy this client.
         callback(std::move(outcome));
@@ -62,7 +66,7 @@
     event_base& base;
     std::string sourceAddress;
     std::unordered_map<HttpExchange*, std::unique_ptr<HttpExchange>> exchanges;
-    std::vector<std::unique_ptr<HttpConnection>> idle;
+    std::map<std::pair<std::string, std::uint16_t>, std::vector<std::unique_ptr<HttpConnection>>> idle;
 };
 
 HttpClient::HttpClient(event_base& base, std::string sourceAddress)
--- a/modules/platform/http/HttpClient.h
+++ b/modules/store/http/HttpClient.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include <core/errors/Result.h>
-#include <platform/http/HttpAnswer.h>
-#include <platform/http/HttpCall.h>
-#include <platform/http/HttpFailure.h>
+#include <store/http/HttpAnswer.h>
+#include <store/http/HttpCall.h>
+#include <store/http/HttpFailure.h>
 
 #include <functional>
 #include <memory>
--- a/modules/platform/http/HttpConnection.cpp
+++ b/modules/store/http/HttpConnection.cpp
@@ -1,4 +1,4 @@
-#include <platform/http/HttpConnection.h>
+#include <store/http/HttpConnection.h>
 
 #include <core/checks/Assertion.h>
 
@@ -36,11 +36,6 @@
     evhttp_connection_free(this->connection);
 }
 
-bool HttpConnection::leadsTo(const std::string& otherAddress, std::uint16_t otherPort) const
-{
-    return this->port == otherPort && this->address == otherAddress;
-}
-
 void HttpConnection::outputChanged(evbuffer*, const evbuffer_cb_info* info, void* context)
 {
     if (info->n_deleted > 0)
--- a/modules/platform/http/HttpConnection.h
+++ b/modules/store/http/HttpConnection.h
@@ -22,7 +22,8 @@
     HttpConnection& operator=(const HttpConnection&) = delete;
 
     evhttp_connection* handle() const { return this->connection; }
-    bool leadsTo(const std::string& otherAddress, std::uint16_t otherPort) const;
+    const std::string& remoteAddress() const { return this->address; }
+    std::uint16_t remotePort() const { return this->port; }
 
     /// Forgets what has been written for earlier requests.
     void startRequest() { this->written = false; }
--- a/modules/platform/http/HttpExchange.cpp
+++ b/modules/store/http/HttpExchange.cpp
@@ -1,7 +1,7 @@
-#include <platform/http/HttpExchange.h>
+#include <store/http/HttpExchange.h>
 
 #include <core/checks/Assertion.h>
-#include <platform/http/HttpConnection.h>
+#include <store/http/HttpConnection.h>
 
 #include <algorithm>
 #include <event2/buffer.h>
--- a/modules/platform/store/StoreAnswers.cpp
+++ b/modules/store/store/StoreAnswers.cpp
@@ -1,10 +1,10 @@
-#include <platform/store/StoreAnswers.h>
+#include <store/store/StoreAnswers.h>
 
-#include <platform/http/HttpAnswer.h>
-#include <platform/store/StoreEntry.h>
-#include <platform/store/WatchResult.h>
-#include <platform/vms/RebootStatus.h>
-#include <platform/vms/VmRecord.h>
+#include <store/http/HttpAnswer.h>
+#include <store/store/StoreEntry.h>
+#include <store/store/WatchResult.h>
+#include <store/vms/RebootStatus.h>
+#include <store/vms/VmRecord.h>
 
 #include <json/json.h>
 #include <limits>
--- a/modules/platform/store/StoreAnswers.h
+++ b/modules/store/store/StoreAnswers.h
@@ -2,7 +2,7 @@
 
 #include <core/errors/Result.h>
 #include <json/forwards.h>
-#include <platform/store/StoreError.h>
+#include <store/store/StoreError.h>
 
 #include <string>
 #include <vector>
--- a/modules/platform/store/StoreClient.cpp
+++ b/modules/store/store/StoreClient.cpp
@@ -1,13 +1,13 @@
-#include <platform/store/StoreClient.h>
-
-#include <platform/http/HttpClient.h>
-#include <platform/store/StoreAnswers.h>
-#include <platform/store/StoreCallCount.h>
-#include <platform/store/StoreEntry.h>
-#include <platform/store/StoreWrite.h>
-#include <platform/store/WatchResult.h>
-#include <platform/vms/RebootStatus.h>
-#include <platform/vms/VmRecord.h>
+#include <store/store/StoreClient.h>
+
+#include <store/http/HttpClient.h>
+#include <store/store/StoreAnswers.h>
+#include <store/store/StoreCallCount.h>
+#include <store/store/StoreEntry.h>
+#include <store/store/StoreWrite.h>
+#include <store/store/WatchResult.h>
+#include <store/vms/RebootStatus.h>
+#include <store/vms/VmRecord.h>
 
 #include <json/json.h>
 #include <map>
--- a/modules/platform/store/StoreClient.h
+++ b/modules/store/store/StoreClient.h
@@ -2,7 +2,7 @@
 
 #include <core/errors/Result.h>
 #include <core/time/Instant.h>
-#include <platform/store/StoreError.h>
+#include <store/store/StoreError.h>
 
 #include <cstdint>
 #include <functional>
--- a/modules/platform/store/WatchResult.h
+++ b/modules/store/store/WatchResult.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <platform/store/StoreEntry.h>
+#include <store/store/StoreEntry.h>
 
 #include <cstdint>
 #include <vector>
--- a/tests/fuzz/targets/store.cpp
+++ b/tests/fuzz/targets/store.cpp
@@ -1,11 +1,11 @@
 #include <daemon/membership/MemberCodec.h>
 #include <daemon/membership/MemberRecord.h>
 #include <json/value.h>
-#include <platform/http/HttpAnswer.h>
-#include <platform/store/StoreAnswers.h>
-#include <platform/store/StoreEntry.h>
-#include <platform/store/WatchResult.h>
-#include <platform/vms/VmRecord.h>
+#include <store/http/HttpAnswer.h>
+#include <store/store/StoreAnswers.h>
+#include <store/store/StoreEntry.h>
+#include <store/store/WatchResult.h>
+#include <store/vms/VmRecord.h>
 #include <tests/fuzz/FuzzInput.h>
 
 using namespace Greengage;
--- a/tests/measure/capacity/CapacityProbe.cpp
+++ b/tests/measure/capacity/CapacityProbe.cpp
@@ -10,8 +10,8 @@
 #include <json/json.h>
 #include <measure/capacity/CostMeter.h>
 #include <mesh/codec/PeerStateCodec.h>
-#include <platform/http/HttpAnswer.h>
-#include <platform/store/StoreAnswers.h>
+#include <store/http/HttpAnswer.h>
+#include <store/store/StoreAnswers.h>
 
 namespace Greengage {
 
--- a/tests/measure/capacity/SyntheticFleet.h
+++ b/tests/measure/capacity/SyntheticFleet.h
@@ -3,7 +3,7 @@
 #include <config/model/DocumentRecord.h>
 #include <fleet/peers/PeerState.h>
 #include <measure/capacity/FleetSize.h>
-#include <platform/vms/VmRecord.h>
+#include <store/vms/VmRecord.h>
 
 #include <string>
 #include <vector>
--- a/tests/measure/policy/WaveChooser.h
+++ b/tests/measure/policy/WaveChooser.h
@@ -5,7 +5,7 @@
 #include <config/model/Document.h>
 #include <core/time/Instant.h>
 #include <fleet/maintenance/ledger/MaintenanceLedger.h>
-#include <platform/vms/VmRecord.h>
+#include <store/vms/VmRecord.h>
 
 #include <memory>
 #include <vector>
--- a/tests/site/HttpTool.h
+++ b/tests/site/HttpTool.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include <json/value.h>
-#include <platform/http/HttpClient.h>
 #include <standins/common/Loop.h>
+#include <store/http/HttpClient.h>
 
 #include <functional>
 #include <string>
--- a/tests/standins/caller/CallerProcess.h
+++ b/tests/standins/caller/CallerProcess.h
@@ -1,10 +1,10 @@
 #pragma once
 
 #include <checker/AnswerEvent.h>
-#include <platform/http/HttpClient.h>
 #include <standins/caller/CallerOptions.h>
 #include <standins/caller/Submission.h>
 #include <standins/common/HistoryFile.h>
+#include <store/http/HttpClient.h>
 
 #include <memory>
 #include <random>
--- a/tests/standins/store/StoreState.h
+++ b/tests/standins/store/StoreState.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include <core/time/Deadline.h>
-#include <platform/store/StoreEntry.h>
-#include <platform/store/StoreWrite.h>
-#include <platform/store/WatchResult.h>
+#include <store/store/StoreEntry.h>
+#include <store/store/StoreWrite.h>
+#include <store/store/WatchResult.h>
 
 #include <cstdint>
 #include <map>
--- a/tests/standins/tests/MinionFixture.h
+++ b/tests/standins/tests/MinionFixture.h
@@ -1,10 +1,10 @@
 #pragma once
 
-#include <platform/platform.h>
 #include <standins/common/JsonText.h>
 #include <standins/common/Loop.h>
 #include <standins/common/WorkOrder.h>
 #include <standins/minion/MinionProcess.h>
+#include <store/store.h>
 
 #include <filesystem>
 #include <fstream>
--- a/tests/standins/tests/RelayTests.cpp
+++ b/tests/standins/tests/RelayTests.cpp
@@ -1,10 +1,10 @@
 #include <boost/test/unit_test.hpp>
 #include <optional>
-#include <platform/platform.h>
 #include <standins/common/HttpReplies.h>
 #include <standins/common/HttpService.h>
 #include <standins/common/Loop.h>
 #include <standins/relay/RelayProcess.h>
+#include <store/store.h>
 #include <unistd.h>
 
 using namespace Greengage;
--- a/tests/standins/tests/StoreFixture.h
+++ b/tests/standins/tests/StoreFixture.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include <platform/platform.h>
 #include <standins/common/JsonText.h>
 #include <standins/common/Loop.h>
 #include <standins/store/StoreService.h>
+#include <store/store.h>
 
 #include <optional>
 #include <string>
