Carry out waves, and place nothing before all that may run is known

Change: the holder reads jobs, directory and the stored crew before it acts; workers get tasks only once they are on the stored crew; waves empty VMs within may_miss, take them down within their maximum, and store each step.

--- a/modules/coordinator/leadership/StoreKeys.h
+++ b/modules/coordinator/leadership/StoreKeys.h
@@ -13,6 +13,9 @@
     static constexpr const char* holder = "gg/lead/holder";
     /// Rewritten by the holder while it is alive.
     static constexpr const char* beat = "gg/lead/beat";
+    /// The workers that may run tasks, listed or not.
+    static constexpr const char* crew = "gg/crew";
+    static constexpr const char* waves = "gg/wave/";
     /// Open jobs, with their cancellation and progress below them.
     static constexpr const char* jobs = "gg/job/";
     static constexpr const char* ended = "gg/done/";
--- a/modules/coordinator/placing/Coordinator.h
+++ b/modules/coordinator/placing/Coordinator.h
@@ -2,8 +2,10 @@
 
 #include <coordinator/leadership/Leadership.h>
 #include <coordinator/placing/CoordinatorLimits.h>
+#include <coordinator/placing/CrewKeeper.h>
 #include <coordinator/placing/ProgressWriter.h>
 #include <coordinator/store/PrefixMirror.h>
+#include <coordinator/upkeep/UpkeepDriver.h>
 #include <coordinator/workers/WorkerLink.h>
 #include <core/time/UnixClock.h>
 #include <jobs/board/JobBoard.h>
@@ -23,13 +25,14 @@
 /// Places the tasks of all open jobs while this daemon holds the leadership: renews the workers' leases, takes in what
 /// they report, has it stored, and gives orders. Everything it needs after a change of holder is in the store and in
 /// the workers' reports.
-template <SharedStore Store, WorkerLink Link> class Coordinator {
+template <SharedStore Store, WorkerLink Link, MachineService Machines> class Coordinator {
 public:
-    Coordinator(event_base& base, Store& store, Link& link, DaemonId daemon, IncarnationId incarnation,
-        const CoordinatorLimits& limits)
+    Coordinator(event_base& base, Store& store, Link& link, Machines& machines, DaemonId daemon,
+        IncarnationId incarnation, const CoordinatorLimits& limits)
         : base(base)
         , store(store)
         , link(link)
+        , machines(machines)
         , limits(limits)
         , leadership(base, store, std::move(daemon), std::move(incarnation),
               { [this](const Term& term) { this->begin(term); }, [this] { this->end(); },
@@ -63,6 +66,7 @@
             worker.isListed = false;
         for (const auto& worker : facts)
             this->putWorker(worker);
+        this->session->areWorkersListed = true;
     }
 
     /// A worker's entry in the directory is new or has changed.
@@ -100,6 +104,15 @@
     /// Calls back when the directory of workers is needed, with true, or not any more, with false.
     void onDirectoryWanted(std::function<void(bool)> callback) { this->directoryWanted = std::move(callback); }
 
+    /// The waves that operators have ordered.
+    void setWaves(std::map<std::int64_t, UpkeepWave> ordered) { this->waves = std::move(ordered); }
+
+    /// Adds to a commit what tells the operators how far a wave is.
+    void onWavePublished(typename UpkeepDriver<Store, Machines>::Publish callback)
+    {
+        this->publishWave = std::move(callback);
+    }
+
     /// The number of accepted jobs of a queue that have not started, as the holder last said.
     std::uint64_t waitingJobs(const QueueId& queue) const
     {
@@ -139,11 +152,14 @@
     /// What exists only while this daemon holds the leadership.
     struct Session {
         Session(event_base& base, Store& store, Leadership<Store>& leadership,
-            typename PrefixMirror<Store>::Handlers handlers, std::function<void()> recorded)
+            typename PrefixMirror<Store>::Handlers handlers, std::function<void()> recorded, Machines& machines,
+            Deadline ordersFrom, typename UpkeepDriver<Store, Machines>::Publish publishWave)
             : jobsMirror(base, store, StoreKeys::jobs, jobsWatchWait, std::move(handlers))
             , writer(store, leadership, board, std::move(recorded))
             , reports(board)
             , placement(board)
+            , crew(store, leadership, board)
+            , upkeep(store, machines, leadership, board, ordersFrom, std::move(publishWave))
         {
         }
 
@@ -152,9 +168,16 @@
         ProgressWriter<Store> writer;
         ReportSystem reports;
         PlacementSystem placement;
+        CrewKeeper<Store> crew;
+        UpkeepDriver<Store, Machines> upkeep;
         std::unordered_map<WorkerId, Renewal> renewals;
         std::shared_ptr<bool> alive = std::make_shared<bool>(true);
         bool areJobsLoaded = false;
+        bool areWorkersListed = false;
+
+        /// Whether all that may run anywhere is known, but for workers that have not been reached.
+        bool isComplete() const { return this->areJobsLoaded && this->areWorkersListed && this->crew.isLoaded(); }
+
         Deadline nextFlush;
         std::int64_t token = 0;
     };
@@ -167,7 +190,8 @@
             [](KvFailure) {},
         };
         this->session = std::make_unique<Session>(
-            this->base, this->store, this->leadership, std::move(handlers), [this] { this->hurry(); });
+            this->base, this->store, this->leadership, std::move(handlers), [this] { this->hurry(); }, this->machines,
+            Deadline::after(BootClock::now(), this->limits.dutyTerm), this->publishWave);
         JobBoard& board = this->session->board;
         board.policies = this->policies;
         board.lowestRun = 1 + term.epoch * runsPerEpoch;
@@ -214,7 +238,9 @@
         if (this->leadership.mayAct(now)) {
             this->renewLeases(now);
             this->clearSilentWorkers(now);
-            if (this->session->areJobsLoaded) {
+            this->session->crew.tick();
+            if (this->session->isComplete()) {
+                this->session->upkeep.tick(this->waves, now);
                 this->placeTasks(now);
                 this->orderStops(now);
             }
@@ -366,6 +392,11 @@
     {
         Renewal& renewal = this->session->renewals[id];
         renewal.isUnderWay = false;
+        if (!this->session->isComplete()) {
+            // Without the jobs, what runs could not be told from what is not wanted.
+            renewal.next = Deadline::after(BootClock::now(), tickPeriod);
+            return;
+        }
         WorkerRow* worker = this->session->board.findWorker(id);
         if (!worker)
             return;
@@ -613,10 +644,13 @@
     event_base& base;
     Store& store;
     Link& link;
+    Machines& machines;
     CoordinatorLimits limits;
     std::shared_ptr<const JobPolicies> policies = std::make_shared<JobPolicies>();
     std::unordered_map<QueueId, std::uint64_t> waitingByQueue;
+    std::map<std::int64_t, UpkeepWave> waves;
     std::function<void(bool)> directoryWanted;
+    typename UpkeepDriver<Store, Machines>::Publish publishWave = [](std::int64_t, bool, KvCommit&) {};
     JobRecordCodec recordCodec;
     JobProgressCodec progressCodec;
     Leadership<Store> leadership;
--- /dev/null
+++ b/modules/coordinator/placing/CrewRecord.cpp
@@ -0,0 +1,61 @@
+#include <coordinator/placing/CrewRecord.h>
+
+#include <jobs/codec/CompactJson.h>
+
+namespace Greengage {
+
+namespace {
+
+enum Column : Json::ArrayIndex {
+    Id,
+    Pool,
+    Address,
+    Port,
+    Born,
+    ColumnCount,
+};
+
+} // namespace
+
+std::string CrewRecord::encode() const
+{
+    Json::Value value(Json::objectValue);
+    value["workers"] = Json::Value(Json::arrayValue);
+    for (const auto& worker : this->workers) {
+        Json::Value row(Json::arrayValue);
+        row[Id] = worker.id.string();
+        row[Pool] = worker.pool.string();
+        row[Address] = worker.address;
+        row[Port] = worker.port;
+        row[Born] = Json::Int64(worker.bornUnixMs);
+        value["workers"].append(row);
+    }
+    return toCompactJson(value);
+}
+
+std::optional<CrewRecord> CrewRecord::decode(std::string_view text)
+{
+    auto value = parseJsonObject(text);
+    if (!value || !(*value)["workers"].isArray())
+        return std::nullopt;
+    CrewRecord record;
+    try {
+        for (const auto& row : (*value)["workers"]) {
+            if (!row.isArray() || row.size() != ColumnCount)
+                return std::nullopt;
+            WorkerFacts worker;
+            worker.id = WorkerId(row[Id].asString());
+            worker.pool = PoolId(row[Pool].asString());
+            worker.address = row[Address].asString();
+            worker.port = static_cast<std::uint16_t>(row[Port].asUInt());
+            worker.bornUnixMs = row[Born].asInt64();
+            record.workers.push_back(std::move(worker));
+        }
+    } catch (const Json::Exception&) {
+        // A column of another type: the text is not ours.
+        return std::nullopt;
+    }
+    return record;
+}
+
+} // namespace Greengage
--- a/modules/jobs/board/Attempt.h
+++ b/modules/jobs/board/Attempt.h
@@ -56,6 +56,8 @@
     Deadline nextStop;
     std::string checkpoint;
     int pacePercent = 100;
+    /// A lasting task is past its start and not paced down, by the latest report.
+    bool isAtWork = false;
     std::int64_t load = 0;
 };
 
--- a/modules/jobs/board/WorkerRow.h
+++ b/modules/jobs/board/WorkerRow.h
@@ -15,6 +15,8 @@
     WorkerFacts facts;
     /// Whether the directory lists the worker.
     bool isListed = true;
+    /// Whether the worker is on the stored list of workers that may run tasks.
+    bool isRecorded = false;
     /// Whether the worker has answered under the current fencing token, so that all it runs is known.
     bool isReached = false;
     /// The sum of what its attempts occupy.
--- a/modules/jobs/systems/PlacementSystem.cpp
+++ b/modules/jobs/systems/PlacementSystem.cpp
@@ -31,8 +31,8 @@
 
 bool takesWork(const WorkerRow& worker, Instant now)
 {
-    return worker.isListed && worker.isReached && !worker.isSuspect && !worker.facts.draining && !worker.isEvacuating
-        && worker.setAsideUntil.hasPassed(now);
+    return worker.isListed && worker.isRecorded && worker.isReached && !worker.isSuspect && !worker.facts.draining
+        && !worker.isEvacuating && worker.setAsideUntil.hasPassed(now);
 }
 
 /// In which order jobs get room; smaller goes first.
--- a/modules/jobs/systems/ReportSystem.cpp
+++ b/modules/jobs/systems/ReportSystem.cpp
@@ -29,6 +29,16 @@
     return AttemptEventKind::Lost;
 }
 
+constexpr int wholeSpeed = 100;
+
+void takeFigures(Attempt& attempt, const RunningAttempt& running)
+{
+    attempt.checkpoint = running.checkpoint;
+    attempt.pacePercent = running.pacePercent;
+    attempt.isAtWork = running.pacePercent == wholeSpeed;
+    attempt.load = running.load;
+}
+
 } // namespace
 
 std::vector<AttemptEvent> ReportSystem::apply(
@@ -112,9 +122,7 @@
             attempt.phase = AttemptPhase::Running;
         attempt.isAnswered = true;
         attempt.confirmedAt = now;
-        attempt.checkpoint = running.checkpoint;
-        attempt.pacePercent = running.pacePercent;
-        attempt.load = running.load;
+        takeFigures(attempt, running);
         return;
     }
     if (auto stray = worker.strays.find({ running.task, running.run }); stray != worker.strays.end()) {
@@ -135,9 +143,7 @@
         return false;
     Attempt& attempt = this->board.beginAttempt(worker, job, running.task, running.run, AttemptPhase::Running, now);
     attempt.isAnswered = true;
-    attempt.checkpoint = running.checkpoint;
-    attempt.pacePercent = running.pacePercent;
-    attempt.load = running.load;
+    takeFigures(attempt, running);
     this->note(AttemptEventKind::Adopted, running.task, running.run, worker);
     return true;
 }
