--- a/modules/coordinator/upkeep/UpkeepDriver.h
+++ b/modules/coordinator/fleet/FleetDriver.h
@@ -1,11 +1,13 @@
 #pragma once
 
+#include <coordinator/fleet/MachineService.h>
+#include <coordinator/fleet/WaveRecord.h>
 #include <coordinator/leadership/Leadership.h>
 #include <coordinator/store/SharedStore.h>
-#include <coordinator/upkeep/MachineService.h>
-#include <coordinator/upkeep/WaveRecord.h>
+#include <core/time/UnixClock.h>
 #include <jobs/board/JobBoard.h>
 #include <jobs/model/UpkeepWave.h>
+#include <jobs/systems/PoolSizing.h>
 #include <jobs/systems/UpkeepSystem.h>
 
 #include <algorithm>
@@ -15,36 +17,135 @@
 
 namespace Greengage {
 
-/// Carries out the operators' waves while this daemon holds the leadership. Each VM that was taken down is stored
-/// before the next step, so that another holder goes on where this one stopped.
-template <SharedStore Store, MachineService Machines> class UpkeepDriver {
+/// Sizes the pools and carries out the operators' waves while this daemon holds the leadership. Each VM that was taken
+/// down is stored before the next step, so that another holder goes on where this one stopped.
+template <SharedStore Store, MachineService Machines> class FleetDriver {
 public:
     /// Told to the operators: whether a wave is completed.
     using Publish = std::function<void(std::int64_t wave, bool isCompleted, KvCommit&)>;
 
-    UpkeepDriver(Store& store, Machines& machines, Leadership<Store>& leadership, JobBoard& board, Deadline ordersFrom,
+    FleetDriver(Store& store, Machines& machines, Leadership<Store>& leadership, JobBoard& board, Deadline ordersFrom,
         Publish publish)
         : store(store)
         , machines(machines)
         , leadership(leadership)
         , board(board)
         , system(board)
+        , sizing(board)
         , ordersFrom(ordersFrom)
         , publish(std::move(publish))
         , alive(std::make_shared<bool>(true))
     {
     }
 
-    ~UpkeepDriver() { *this->alive = false; }
+    ~FleetDriver() { *this->alive = false; }
 
-    UpkeepDriver(const UpkeepDriver&) = delete;
-    UpkeepDriver& operator=(const UpkeepDriver&) = delete;
+    FleetDriver(const FleetDriver&) = delete;
+    FleetDriver& operator=(const FleetDriver&) = delete;
 
     void tick(const std::map<std::int64_t, UpkeepWave>& waves, Instant now)
     {
-        if (waves.empty())
+        if (this->nextListing.hasPassed(now) && !this->isListing)
+            this->list(now);
+        if (!this->listedAt)
             return;
         std::erase_if(this->mayBeDown, [now](const auto& entry) { return entry.second.hasPassed(now); });
+        std::erase_if(this->onTheirWay, [now](const auto& entry) { return entry.second.until.hasPassed(now); });
+        this->tickWaves(waves, now);
+        if (this->ordersFrom.hasPassed(now) && this->nextSizing.hasPassed(now)) {
+            this->nextSizing = Deadline::after(now, sizingPeriod);
+            this->sizePools(now);
+        }
+    }
+
+    /// A job has come to a pool.
+    void noteArrival(const PoolId& pool, const JobSpec& spec, Instant now)
+    {
+        this->sizing.noteArrival(pool, spec, now);
+    }
+
+private:
+    struct Progress {
+        WaveRecord record;
+        std::int64_t revision = 0;
+    };
+
+    struct Arrival {
+        PoolId pool;
+        Deadline until;
+    };
+
+    /// The fleet is listed this often.
+    static constexpr Milliseconds listingPeriod { 500 };
+    static constexpr Milliseconds sizingPeriod { 100 };
+    /// A VM that was ordered down counts as down for so long, whatever an older listing says.
+    static constexpr Milliseconds orderedDownFor { 2500 };
+    /// A VM that was ordered into a pool counts as on its way for so long.
+    static constexpr Milliseconds onItsWayFor { 3000 };
+    static constexpr Milliseconds retryPause { 400 };
+
+    void sizePools(Instant now)
+    {
+        std::map<PoolId, std::int64_t> incoming;
+        std::set<VmId> busy(this->underWay.begin(), this->underWay.end());
+        for (const auto& [machine, arrival] : this->onTheirWay) {
+            incoming[arrival.pool] += 1;
+            busy.insert(machine);
+        }
+        for (const auto& [machine, until] : this->mayBeDown)
+            busy.insert(machine);
+        for (const auto& [machine, until] : this->notBefore) {
+            if (!until.hasPassed(now))
+                busy.insert(machine);
+        }
+        for (const auto& order : this->sizing.advance(this->fleet, incoming, busy, now, unixMilliseconds()))
+            this->move(order, now);
+    }
+
+    void move(const MoveOrder& order, Instant now)
+    {
+        this->underWay.insert(order.machine);
+        this->onTheirWay[order.machine] = { order.to, Deadline::after(now, onItsWayFor) };
+        writeLog(LogLevel::Info,
+            LogLine("move_ordered")
+                .add("machine", order.machine.string())
+                .add("from", order.from.string())
+                .add("to", order.to.string()));
+        this->machines.move(order.machine, order.to, this->leadership.currentTerm().fencingToken,
+            [this, alive = this->alive, order](MachineOutcome outcome) {
+                if (*alive)
+                    this->takeMove(order, outcome);
+            });
+    }
+
+    void takeMove(const MoveOrder& order, MachineOutcome outcome)
+    {
+        Instant now = BootClock::now();
+        this->underWay.erase(order.machine);
+        writeLog(outcome == MachineOutcome::Taken ? LogLevel::Info : LogLevel::Warning,
+            LogLine("move_answered").add("machine", order.machine.string()).add("outcome", nameOf(outcome)));
+        if (outcome == MachineOutcome::Fenced) {
+            this->leadership.stepDown("a machine knows a higher token");
+            return;
+        }
+        if (outcome == MachineOutcome::Taken) {
+            this->onTheirWay[order.machine] = { order.to, Deadline::after(now, onItsWayFor) };
+            return;
+        }
+        this->notBefore[order.machine] = Deadline::after(now, retryPause);
+        if (outcome == MachineOutcome::NoAnswer)
+            return;
+        // The VM stays where it is, so its worker takes work again.
+        this->onTheirWay.erase(order.machine);
+        auto facts = this->fleet.find(order.machine);
+        if (facts == this->fleet.end())
+            return;
+        if (auto* worker = this->board.findWorker(facts->second.worker))
+            worker->isEvacuating = false;
+    }
+
+    void tickWaves(const std::map<std::int64_t, UpkeepWave>& waves, Instant now)
+    {
         const UpkeepWave* current = nullptr;
         for (const auto& [number, wave] : waves) {
             auto progress = this->progress.find(number);
@@ -61,26 +162,10 @@
             if (this->isEmptying)
                 this->system.release();
             this->isEmptying = false;
-            return;
-        }
-        if (this->nextListing.hasPassed(now) && !this->isListing)
-            this->list(now);
-        if (this->listedAt && !this->isStoring)
+        } else if (!this->isStoring)
             this->advance(*current, now);
     }
 
-private:
-    struct Progress {
-        WaveRecord record;
-        std::int64_t revision = 0;
-    };
-
-    /// The fleet is listed this often while a wave is under way.
-    static constexpr Milliseconds listingPeriod { 500 };
-    /// A VM that was ordered down counts as down for so long, whatever an older listing says.
-    static constexpr Milliseconds orderedDownFor { 2500 };
-    static constexpr Milliseconds retryPause { 400 };
-
     void load(std::int64_t number)
     {
         if (this->isStoring)
@@ -145,8 +230,14 @@
             }
             this->listedAt = now;
             this->fleet.clear();
-            for (auto& facts : result.value())
+            for (auto& facts : result.value()) {
+                auto arrival = this->onTheirWay.find(facts.id);
+                bool hasArrived = arrival != this->onTheirWay.end() && facts.pool == arrival->second.pool
+                    && facts.state == MachineState::Up && !this->underWay.contains(facts.id);
+                if (hasArrived)
+                    this->onTheirWay.erase(arrival);
                 this->fleet[facts.id] = facts;
+            }
         });
     }
 
@@ -167,6 +258,7 @@
         this->isEmptying = true;
         for (const auto& machine : this->system.advance(current, this->fleet, this->mayBeDown, now)) {
             if (this->ordersFrom.hasPassed(now) && !this->underWay.contains(machine)
+                && !this->onTheirWay.contains(machine)
                 && (!this->notBefore.contains(machine) || this->notBefore.at(machine).hasPassed(now)))
                 this->takeDown(wave.number, machine, now);
         }
@@ -214,6 +306,7 @@
     Leadership<Store>& leadership;
     JobBoard& board;
     UpkeepSystem system;
+    PoolSizing sizing;
     /// An earlier holder may have given orders until then.
     Deadline ordersFrom;
     Publish publish;
@@ -222,7 +315,9 @@
     std::map<VmId, MachineFacts> fleet;
     std::map<VmId, Deadline> mayBeDown;
     std::map<VmId, Deadline> notBefore;
+    std::map<VmId, Arrival> onTheirWay;
     std::set<VmId> underWay;
+    Deadline nextSizing;
     Deadline nextListing;
     std::optional<Instant> listedAt;
     bool isListing = false;
--- a/modules/coordinator/upkeep/WaveRecord.cpp
+++ b/modules/coordinator/fleet/WaveRecord.cpp
@@ -1,4 +1,4 @@
-#include <coordinator/upkeep/WaveRecord.h>
+#include <coordinator/fleet/WaveRecord.h>
 
 #include <jobs/codec/CompactJson.h>
 
--- a/modules/coordinator/placing/Coordinator.h
+++ b/modules/coordinator/placing/Coordinator.h
@@ -1,17 +1,18 @@
 #pragma once
 
+#include <coordinator/fleet/FleetDriver.h>
 #include <coordinator/leadership/Leadership.h>
 #include <coordinator/placing/CoordinatorLimits.h>
 #include <coordinator/placing/CrewKeeper.h>
 #include <coordinator/placing/ProgressWriter.h>
 #include <coordinator/store/PrefixMirror.h>
-#include <coordinator/upkeep/UpkeepDriver.h>
 #include <coordinator/workers/WorkerLink.h>
 #include <core/time/UnixClock.h>
 #include <jobs/board/JobBoard.h>
 #include <jobs/codec/CompactJson.h>
 #include <jobs/codec/JobRecordCodec.h>
 #include <jobs/systems/PlacementSystem.h>
+#include <jobs/systems/PoolLoad.h>
 #include <jobs/systems/ReportSystem.h>
 
 #include <map>
@@ -108,7 +109,7 @@
     void setWaves(std::map<std::int64_t, UpkeepWave> ordered) { this->waves = std::move(ordered); }
 
     /// Adds to a commit what tells the operators how far a wave is.
-    void onWavePublished(typename UpkeepDriver<Store, Machines>::Publish callback)
+    void onWavePublished(typename FleetDriver<Store, Machines>::Publish callback)
     {
         this->publishWave = std::move(callback);
     }
@@ -153,13 +154,13 @@
     struct Session {
         Session(event_base& base, Store& store, Leadership<Store>& leadership,
             typename PrefixMirror<Store>::Handlers handlers, std::function<void()> recorded, Machines& machines,
-            Deadline ordersFrom, typename UpkeepDriver<Store, Machines>::Publish publishWave)
+            Deadline ordersFrom, typename FleetDriver<Store, Machines>::Publish publishWave)
             : jobsMirror(base, store, StoreKeys::jobs, jobsWatchWait, std::move(handlers))
             , writer(store, leadership, board, std::move(recorded))
             , reports(board)
             , placement(board)
             , crew(store, leadership, board)
-            , upkeep(store, machines, leadership, board, ordersFrom, std::move(publishWave))
+            , fleet(store, machines, leadership, board, ordersFrom, std::move(publishWave))
         {
         }
 
@@ -169,7 +170,7 @@
         ReportSystem reports;
         PlacementSystem placement;
         CrewKeeper<Store> crew;
-        UpkeepDriver<Store, Machines> upkeep;
+        FleetDriver<Store, Machines> fleet;
         std::unordered_map<WorkerId, Renewal> renewals;
         std::shared_ptr<bool> alive = std::make_shared<bool>(true);
         bool areJobsLoaded = false;
@@ -179,6 +180,7 @@
         bool isComplete() const { return this->areJobsLoaded && this->areWorkersListed && this->crew.isLoaded(); }
 
         Deadline nextFlush;
+        Deadline nextPoolLog;
         std::int64_t token = 0;
     };
 
@@ -240,9 +242,10 @@
             this->clearSilentWorkers(now);
             this->session->crew.tick();
             if (this->session->isComplete()) {
-                this->session->upkeep.tick(this->waves, now);
+                this->session->fleet.tick(this->waves, now);
                 this->placeTasks(now);
                 this->orderStops(now);
+                this->logPools(now);
             }
         }
         if (this->session->nextFlush.hasPassed(now)) {
@@ -314,6 +317,8 @@
                 .add("age_ms", unixMilliseconds() - record->receivedUnixMs));
         board.addJob(std::move(*record), progress, isInherited);
         JobRow& job = board.jobs.at(id);
+        if (auto queue = board.policies->queues.find(job.record.queue); queue != board.policies->queues.end())
+            this->session->fleet.noteArrival(queue->second.pool, job.record.spec, BootClock::now());
         job.recordRevision = item.revision;
         job.progressRevision = progressRevision;
     }
@@ -374,11 +379,11 @@
         RenewLease order;
         order.fencingToken = this->session->token;
         order.recordedEnds = worker.endsRecorded;
-        if (worker.isReached) {
+        // A worker that does not answer gets no longer lease, so that what it runs is given up in bounded time.
+        if (worker.isReached && !worker.isSuspect) {
             order.leaseUntilClockMs = this->clockOf(worker, now) + this->limits.leaseLength.count();
             this->extendLease(worker, now, this->limits.leaseLength);
-            if (!renewal.failures)
-                order.wait = renewalWait;
+            order.wait = renewalWait;
         }
         renewal.isUnderWay = true;
         this->link.renew(this->endpointOf(worker), order,
@@ -608,6 +613,27 @@
         }
     }
 
+    /// One line a pool, seldom: what it has, what is taken, and what waits.
+    void logPools(Instant now)
+    {
+        if (!this->session->nextPoolLog.hasPassed(now))
+            return;
+        this->session->nextPoolLog = Deadline::after(now, poolLogPeriod);
+        for (const auto& [pool, load] : PoolLoad::measure(this->session->board, unixMilliseconds())) {
+            writeLog(LogLevel::Info,
+                LogLine("pool_load")
+                    .add("pool", pool.string())
+                    .add("workers", load.workers)
+                    .add("cpu", load.capacity.cpuMillis)
+                    .add("occupied", load.occupied.cpuMillis)
+                    .add("lasting", load.lastingCpuMillis)
+                    .add("waiting", load.waiting.cpuMillis)
+                    .add("waiting_tasks", load.waitingTasks));
+        }
+    }
+
+    static constexpr Milliseconds poolLogPeriod { 1000 };
+
     // Beats
 
     std::string beatText() const
@@ -650,7 +676,7 @@
     std::unordered_map<QueueId, std::uint64_t> waitingByQueue;
     std::map<std::int64_t, UpkeepWave> waves;
     std::function<void(bool)> directoryWanted;
-    typename UpkeepDriver<Store, Machines>::Publish publishWave = [](std::int64_t, bool, KvCommit&) {};
+    typename FleetDriver<Store, Machines>::Publish publishWave = [](std::int64_t, bool, KvCommit&) {};
     JobRecordCodec recordCodec;
     JobProgressCodec progressCodec;
     Leadership<Store> leadership;
--- a/modules/jobs/board/JobBoard.cpp
+++ b/modules/jobs/board/JobBoard.cpp
@@ -105,6 +105,12 @@
     return found == this->workers.end() ? nullptr : &found->second;
 }
 
+const WorkerRow* JobBoard::findWorker(const WorkerId& id) const
+{
+    auto found = this->workers.find(id);
+    return found == this->workers.end() ? nullptr : &found->second;
+}
+
 bool JobBoard::isReady(
     const JobRow& job, const OccurrenceRow& occurrence, std::uint32_t step, std::int64_t nowUnixMs) const
 {
--- a/modules/jobs/board/JobBoard.h
+++ b/modules/jobs/board/JobBoard.h
@@ -41,6 +41,7 @@
     TaskRow* findTask(const TaskName&);
     const StepSpec* findStep(const TaskName&) const;
     WorkerRow* findWorker(const WorkerId&);
+    const WorkerRow* findWorker(const WorkerId&) const;
 
     /// Whether the task's turn has come: the steps that it follows are done, and it is due.
     bool isReady(const JobRow&, const OccurrenceRow&, std::uint32_t step, std::int64_t nowUnixMs) const;
--- a/modules/jobs/systems/PlacementSystem.cpp
+++ b/modules/jobs/systems/PlacementSystem.cpp
@@ -200,7 +200,7 @@
             continue;
         bool disturbs = step.fills ? worker->servingCount > 0 : step.tailTarget.count() && worker->fillingCount > 0;
         bool isFar = !step.preferredRack.empty() && !hasLabel(*worker, step.preferredRack);
-        std::tuple rank(worker->facts.id == failedOn, disturbs, isFar, step.lasting ? siblings : 0U, -room.cpuMillis);
+        std::tuple rank(worker->facts.id == failedOn, disturbs, isFar, step.lasting ? siblings : 0U, room.cpuMillis);
         if (!best || rank < bestRank) {
             best = worker;
             bestRank = rank;
--- /dev/null
+++ b/modules/jobs/systems/PoolLoad.cpp
@@ -0,0 +1,49 @@
+#include <jobs/systems/PoolLoad.h>
+
+#include <jobs/board/JobBoard.h>
+
+namespace Greengage {
+
+namespace {
+
+void addWaiting(PoolLoad& load, const JobBoard& board, const JobRow& job, std::int64_t nowUnixMs)
+{
+    for (const auto& occurrence : job.occurrences) {
+        for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
+            std::uint32_t count = occurrence.steps[step].waitingCount();
+            if (!count || !board.isReady(job, occurrence, step, nowUnixMs))
+                continue;
+            const Demand& demand = job.record.spec.steps[step].demand;
+            load.waiting
+                += Demand { demand.cpuMillis * count, demand.memoryMegabytes * count, demand.accelerators * count };
+            load.waitingTasks += count;
+        }
+    }
+}
+
+} // namespace
+
+std::map<PoolId, PoolLoad> PoolLoad::measure(const JobBoard& board, std::int64_t nowUnixMs)
+{
+    std::map<PoolId, PoolLoad> loads;
+    for (const auto& [id, worker] : board.workers) {
+        if (!worker.isListed || worker.facts.draining || worker.isEvacuating)
+            continue;
+        PoolLoad& load = loads[worker.facts.pool];
+        load.workers += 1;
+        load.capacity += worker.facts.capacity;
+        load.occupied += worker.occupied;
+        for (const auto& [task, attempt] : worker.attempts) {
+            if (attempt.lasts)
+                load.lastingCpuMillis += attempt.occupies.cpuMillis;
+        }
+    }
+    for (const auto& [id, job] : board.jobs) {
+        auto queue = board.policies->queues.find(job.record.queue);
+        if (!job.hasEnded() && queue != board.policies->queues.end())
+            addWaiting(loads[queue->second.pool], board, job, nowUnixMs);
+    }
+    return loads;
+}
+
+} // namespace Greengage
--- /dev/null
+++ b/modules/jobs/systems/PoolSizing.cpp
@@ -0,0 +1,167 @@
+#include <jobs/systems/PoolSizing.h>
+
+#include <jobs/board/JobBoard.h>
+#include <jobs/model/JobSpec.h>
+#include <jobs/systems/PoolLoad.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace Greengage {
+
+namespace {
+
+/// The weight that is left of something averaged over the window, so long ago.
+double remainingWeight(Microseconds age)
+{
+    constexpr auto window = std::chrono::duration_cast<Microseconds>(PoolSizing::arrivalWindow);
+    return std::exp(-static_cast<double>(age.count()) / static_cast<double>(window.count()));
+}
+
+std::int64_t machinesFor(std::int64_t cpuMillis, std::int64_t machineCpuMillis)
+{
+    return (cpuMillis + machineCpuMillis - 1) / machineCpuMillis;
+}
+
+} // namespace
+
+void PoolSizing::noteArrival(const PoolId& pool, const JobSpec& spec, Instant now)
+{
+    double work = 0;
+    for (const auto& step : spec.steps) {
+        if (!step.lasting && !step.fills)
+            work += static_cast<double>(step.taskCount) * static_cast<double>(step.demand.cpuMillis)
+                * static_cast<double>(step.estimate.count());
+    }
+    Arrivals& entry = this->arrivals[pool];
+    entry.cpuMillis
+        = entry.cpuMillis * remainingWeight(now - entry.at) + work / static_cast<double>(arrivalWindow.count());
+    entry.at = now;
+}
+
+double PoolSizing::arrivingCpuMillis(const PoolId& pool, Instant now) const
+{
+    auto found = this->arrivals.find(pool);
+    return found == this->arrivals.end() ? 0 : found->second.cpuMillis * remainingWeight(now - found->second.at);
+}
+
+std::vector<MoveOrder> PoolSizing::advance(const std::map<VmId, MachineFacts>& machines,
+    const std::map<PoolId, std::int64_t>& incoming, const std::set<VmId>& busy, Instant now, std::int64_t nowUnixMs)
+{
+    const auto& pools = this->board.policies->pools;
+    auto sparePool = std::find_if(pools.begin(), pools.end(), [](const auto& entry) { return entry.second.spare; });
+    if (sparePool == pools.end())
+        return {};
+    std::vector<VmId> spare;
+    for (const auto& [id, facts] : machines) {
+        if (facts.pool == sparePool->first && facts.state == MachineState::Up && !busy.contains(id))
+            spare.push_back(id);
+    }
+    auto needs = this->measureNeeds(machines, incoming, busy, now, nowUnixMs);
+    for (const auto& [pool, need] : needs) {
+        auto [entry, isNew] = this->neededAllAt.try_emplace(pool, now);
+        if (need.wants >= need.has)
+            entry->second = now;
+    }
+    std::vector<MoveOrder> orders;
+    this->fill(needs, spare, sparePool->first, orders);
+    this->park(needs, sparePool->first, now, orders);
+    for (const auto& order : orders) {
+        if (auto* worker = this->board.findWorker(machines.at(order.machine).worker))
+            worker->isEvacuating = true;
+    }
+    return orders;
+}
+
+std::map<PoolId, PoolSizing::Need> PoolSizing::measureNeeds(const std::map<VmId, MachineFacts>& machines,
+    const std::map<PoolId, std::int64_t>& incoming, const std::set<VmId>& busy, Instant now,
+    std::int64_t nowUnixMs) const
+{
+    std::map<PoolId, std::int64_t> poolCpuMillis;
+    std::map<PoolId, Need> needs;
+    for (const auto& [id, facts] : machines) {
+        auto policy = this->board.policies->pools.find(facts.pool);
+        if (policy == this->board.policies->pools.end() || policy->second.spare || facts.state != MachineState::Up)
+            continue;
+        const WorkerRow* worker = this->board.findWorker(facts.worker);
+        if (busy.contains(id) || (worker && (worker->isEvacuating || worker->facts.draining)))
+            continue;
+        Need& need = needs[facts.pool];
+        need.has += 1;
+        poolCpuMillis[facts.pool] += facts.capacity.cpuMillis;
+        if (this->isEmpty(facts))
+            need.idle.push_back(id);
+    }
+    auto loads = PoolLoad::measure(this->board, nowUnixMs);
+    for (const auto& [id, policy] : this->board.policies->pools) {
+        if (policy.spare)
+            continue;
+        Need& need = needs[id];
+        std::int64_t machineCpuMillis = need.has ? std::max<std::int64_t>(1, poolCpuMillis[id] / need.has) : 0;
+        need.wants = this->wantedMachines(id, loads[id], machineCpuMillis, now);
+        if (auto coming = incoming.find(id); coming != incoming.end())
+            need.has += coming->second;
+    }
+    return needs;
+}
+
+std::int64_t PoolSizing::wantedMachines(
+    const PoolId& pool, const PoolLoad& load, std::int64_t machineCpuMillis, Instant now) const
+{
+    if (!machineCpuMillis)
+        return reserveMachines;
+    std::int64_t present = load.occupied.cpuMillis + load.waiting.cpuMillis;
+    auto arriving = static_cast<std::int64_t>(this->arrivingCpuMillis(pool, now)) * arrivalMarginPercent / 100;
+    std::int64_t expected = load.lastingCpuMillis + arriving;
+    return machinesFor(std::max(present, expected), machineCpuMillis) + reserveMachines;
+}
+
+bool PoolSizing::isEmpty(const MachineFacts& machine) const
+{
+    const WorkerRow* worker = this->board.findWorker(machine.worker);
+    return worker && worker->isReached && !worker->isSuspect && worker->attempts.empty() && worker->strays.empty();
+}
+
+void PoolSizing::fill(
+    std::map<PoolId, Need>& needs, std::vector<VmId>& spare, const PoolId& sparePool, std::vector<MoveOrder>& orders)
+{
+    while (true) {
+        auto neediest = std::max_element(needs.begin(), needs.end(), [](const auto& left, const auto& right) {
+            return left.second.wants - left.second.has < right.second.wants - right.second.has;
+        });
+        if (neediest == needs.end() || neediest->second.wants <= neediest->second.has)
+            return;
+        if (!spare.empty()) {
+            orders.push_back({ spare.back(), sparePool, neediest->first });
+            spare.pop_back();
+            neediest->second.has += 1;
+            continue;
+        }
+        auto giver = std::max_element(needs.begin(), needs.end(), [](const auto& left, const auto& right) {
+            auto surplus = [](const Need& need) { return need.idle.empty() ? -1 : need.has - need.wants; };
+            return surplus(left.second) < surplus(right.second);
+        });
+        if (giver->second.idle.empty() || giver->second.has <= giver->second.wants)
+            return;
+        orders.push_back({ giver->second.idle.back(), giver->first, neediest->first });
+        giver->second.idle.pop_back();
+        giver->second.has -= 1;
+        neediest->second.has += 1;
+    }
+}
+
+void PoolSizing::park(
+    std::map<PoolId, Need>& needs, const PoolId& sparePool, Instant now, std::vector<MoveOrder>& orders)
+{
+    for (auto& [pool, need] : needs) {
+        if (now - this->neededAllAt.at(pool) < keepIdleFor)
+            continue;
+        while (need.has > need.wants && !need.idle.empty()) {
+            orders.push_back({ need.idle.back(), pool, sparePool });
+            need.idle.pop_back();
+            need.has -= 1;
+        }
+    }
+}
+
+} // namespace Greengage
--- a/modules/jobs/systems/UpkeepSystem.cpp
+++ b/modules/jobs/systems/UpkeepSystem.cpp
@@ -70,8 +70,10 @@
 
 void UpkeepSystem::release()
 {
-    for (auto& [id, worker] : this->board.workers)
-        worker.isEvacuating = false;
+    for (const auto& [id, since] : this->emptiedSince) {
+        if (auto* worker = this->board.findWorker(id))
+            worker->isEvacuating = false;
+    }
     this->emptiedSince.clear();
 }
 
