--- a/modules/coordinator/fleet/FleetDriver.h
+++ b/modules/coordinator/fleet/FleetDriver.h
@@ -51,6 +51,8 @@
             return;
         std::erase_if(this->mayBeDown, [now](const auto& entry) { return entry.second.hasPassed(now); });
         std::erase_if(this->onTheirWay, [now](const auto& entry) { return entry.second.until.hasPassed(now); });
+        if (!this->leadership.mayGiveDuties(now))
+            return;
         this->tickWaves(waves, now);
         if (this->ordersFrom.hasPassed(now) && this->nextSizing.hasPassed(now)) {
             this->nextSizing = Deadline::after(now, sizingPeriod);
--- a/modules/coordinator/leadership/Leadership.h
+++ b/modules/coordinator/leadership/Leadership.h
@@ -36,7 +36,10 @@
     };
 
     /// How long a holder acts without word from the store.
-    static constexpr Milliseconds validity { 4000 };
+    static constexpr Milliseconds validity { 2500 };
+    /// The part of the validity in which duties are given. With the longest call it ends before the next holder's first
+    /// duty, which is the silence limit and a duty term after the last beat.
+    static constexpr Milliseconds dutyValidity { 2000 };
     static constexpr Milliseconds beatPeriod { 600 };
     /// A holder that has not rewritten its beat for so long is taken for gone. Three missed beats.
     static constexpr Milliseconds silenceLimit { 1800 };
@@ -66,6 +69,12 @@
     /// Whether orders may be given now.
     bool mayAct(Instant now) const { return this->term && !this->actUntil.hasPassed(now); }
 
+    /// Whether orders may be given that the next holder cannot fence: they have to arrive before it gives any.
+    bool mayGiveDuties(Instant now) const
+    {
+        return this->mayAct(now) && this->actUntil.remaining(now) > validity - dutyValidity;
+    }
+
     const Term& currentTerm() const { return *this->term; }
 
     /// The expectation that makes a commit fail once another daemon holds the key.
--- a/modules/coordinator/placing/Coordinator.h
+++ b/modules/coordinator/placing/Coordinator.h
@@ -153,10 +153,11 @@
     /// What exists only while this daemon holds the leadership.
     struct Session {
         Session(event_base& base, Store& store, Leadership<Store>& leadership,
-            typename PrefixMirror<Store>::Handlers handlers, std::function<void()> recorded, Machines& machines,
-            Deadline ordersFrom, typename FleetDriver<Store, Machines>::Publish publishWave)
+            typename PrefixMirror<Store>::Handlers handlers, std::function<void(JobRow&)> stored,
+            std::function<void()> recorded, Machines& machines, Deadline ordersFrom,
+            typename FleetDriver<Store, Machines>::Publish publishWave)
             : jobsMirror(base, store, StoreKeys::jobs, jobsWatchWait, std::move(handlers))
-            , writer(store, leadership, board, std::move(recorded))
+            , writer(store, leadership, board, std::move(stored), std::move(recorded))
             , reports(board)
             , placement(board)
             , crew(store, leadership, board)
@@ -173,6 +174,8 @@
         FleetDriver<Store, Machines> fleet;
         std::unordered_map<WorkerId, Renewal> renewals;
         std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+        /// Tasks that an earlier holder placed, until the workers are known as well.
+        std::map<JobId, std::map<TaskName, TaskPlacement>> inherited;
         bool areJobsLoaded = false;
         bool areWorkersListed = false;
 
@@ -192,7 +195,8 @@
             [](KvFailure) {},
         };
         this->session = std::make_unique<Session>(
-            this->base, this->store, this->leadership, std::move(handlers), [this] { this->hurry(); }, this->machines,
+            this->base, this->store, this->leadership, std::move(handlers),
+            [this](JobRow& job) { this->startPlanned(job); }, [this] { this->hurry(); }, this->machines,
             Deadline::after(BootClock::now(), this->limits.dutyTerm), this->publishWave);
         JobBoard& board = this->session->board;
         board.policies = this->policies;
@@ -242,6 +246,7 @@
             this->clearSilentWorkers(now);
             this->session->crew.tick();
             if (this->session->isComplete()) {
+                this->inheritPlacements(now);
                 this->session->fleet.tick(this->waves, now);
                 this->placeTasks(now);
                 this->orderStops(now);
@@ -265,7 +270,8 @@
         std::map<JobId, std::int64_t> progressRevisions;
         for (const auto& item : listing.items) {
             auto [job, part] = splitKey(item.key);
-            if (part != "progress" || item.isRemoved)
+            // What this daemon has written itself comes back too.
+            if (part != "progress" || item.isRemoved || this->session->board.jobs.contains(job))
                 continue;
             if (auto decoded = this->progressCodec.decode(job, item.value)) {
                 progress[job] = std::move(*decoded);
@@ -305,22 +311,23 @@
             writeLog(LogLevel::Error, LogLine("stored_job_unreadable").add("job", id.string()));
             return;
         }
-        bool isInherited = item.revision < this->session->token;
         writeLog(LogLevel::Info,
             LogLine("job_taken_up")
                 .add("job", id.string())
                 .add("queue", record->queue.string())
                 .add("team", record->team.string())
                 .add("revision", item.revision)
-                .add("inherited", isInherited)
+                .add("placed_tasks", progress.placements.size())
                 .add("done_tasks", progress.done.size())
                 .add("age_ms", unixMilliseconds() - record->receivedUnixMs));
-        board.addJob(std::move(*record), progress, isInherited);
+        board.addJob(std::move(*record), progress);
         JobRow& job = board.jobs.at(id);
         if (auto queue = board.policies->queues.find(job.record.queue); queue != board.policies->queues.end())
             this->session->fleet.noteArrival(queue->second.pool, job.record.spec, BootClock::now());
         job.recordRevision = item.revision;
         job.progressRevision = progressRevision;
+        if (!progress.placements.empty())
+            this->session->inherited.emplace(id, progress.placements);
     }
 
     void takeCancellation(const JobId& id)
@@ -470,17 +477,55 @@
 
     // Orders
 
+    void inheritPlacements(Instant now)
+    {
+        for (const auto& [id, placements] : this->session->inherited) {
+            if (auto job = this->session->board.jobs.find(id); job != this->session->board.jobs.end())
+                this->session->board.inherit(job->second, placements, now);
+        }
+        this->session->inherited.clear();
+    }
+
+    /// Plans what can start. The orders go out once the plan is stored, so that the next holder knows of them.
     void placeTasks(Instant now)
     {
-        for (const auto& order : this->session->placement.place(now, unixMilliseconds()))
-            this->start(order, now);
+        if (!this->session->placement.place(now, unixMilliseconds()).empty())
+            this->session->nextFlush = Deadline();
+    }
+
+    /// The job's plan is stored: sends the orders in it.
+    void startPlanned(JobRow& job)
+    {
+        Instant now = BootClock::now();
+        std::vector<StartOrder> orders;
+        if (!job.activeTasks || job.hasEnded())
+            return;
+        for (auto& [id, worker] : this->session->board.workers) {
+            auto entry = worker.attempts.lower_bound(TaskName { job.record.id });
+            for (; entry != worker.attempts.end() && entry->first.job == job.record.id; ++entry) {
+                if (entry->second.phase == AttemptPhase::Recording)
+                    orders.push_back({ id, entry->first, entry->second.run });
+            }
+        }
+        for (const auto& order : orders) {
+            WorkerRow& worker = this->session->board.workers.at(order.worker);
+            if (this->leadership.mayAct(now) && PlacementSystem::takesWork(worker, now))
+                this->start(order, now);
+            else
+                this->session->board.releaseAttempt(worker, order.task);
+        }
     }
 
     void start(const StartOrder& order, Instant now)
     {
         JobBoard& board = this->session->board;
         WorkerRow& worker = board.workers.at(order.worker);
-        const Attempt& attempt = worker.attempts.at(order.task);
+        Attempt& attempt = worker.attempts.at(order.task);
+        attempt.phase = AttemptPhase::Ordered;
+        attempt.orderedAt = now;
+        attempt.confirmedAt = now;
+        constexpr auto validFor = PlacementSystem::orderValidFor;
+        attempt.orderExpires = Deadline::after(now, validFor + validFor * workerClockSlackPercent / 100 + leaseMargin);
         StartAttempt start;
         start.task = order.task;
         start.run = order.run;
--- a/modules/coordinator/placing/ProgressWriter.h
+++ b/modules/coordinator/placing/ProgressWriter.h
@@ -18,10 +18,13 @@
 /// their ends only once all that was known when a round began is stored.
 template <SharedStore Store> class ProgressWriter {
 public:
-    ProgressWriter(Store& store, Leadership<Store>& leadership, JobBoard& board, std::function<void()> recorded)
+    /// `stored` is told each job whose progress has been stored, `recorded` that a round of writes is over.
+    ProgressWriter(Store& store, Leadership<Store>& leadership, JobBoard& board, std::function<void(JobRow&)> stored,
+        std::function<void()> recorded)
         : store(store)
         , leadership(leadership)
         , board(board)
+        , stored(std::move(stored))
         , recorded(std::move(recorded))
         , alive(std::make_shared<bool>(true))
     {
@@ -32,12 +35,15 @@
     ProgressWriter(const ProgressWriter&) = delete;
     ProgressWriter& operator=(const ProgressWriter&) = delete;
 
-    /// Begins a round of writes if there is anything to store and none is under way.
+    /// Begins a round of writes. If one is under way, another one follows it.
     void flush()
     {
-        if (this->isUnderWay)
+        if (this->isUnderWay) {
+            this->isWantedAgain = true;
             return;
+        }
         this->isUnderWay = true;
+        this->isWantedAgain = false;
         this->endsAtStart.clear();
         for (const auto& [id, worker] : this->board.workers)
             this->endsAtStart.emplace(id, worker.endsSeen);
@@ -88,6 +94,7 @@
         if (!job.hasEnded()) {
             commit.expected.emplace_back(StoreKeys::progress(id), job.progressRevision);
             commit.puts.emplace_back(StoreKeys::progress(id), this->progressCodec.encode(this->board.progressOf(job)));
+            this->markRecording(job);
             writes.push_back({ id, false });
             return;
         }
@@ -101,6 +108,25 @@
         writes.push_back({ id, true });
     }
 
+    void markRecording(const JobRow& job)
+    {
+        this->forEachAttempt(job, [](Attempt& attempt) {
+            if (attempt.phase == AttemptPhase::Planned)
+                attempt.phase = AttemptPhase::Recording;
+        });
+    }
+
+    template <typename Visit> void forEachAttempt(const JobRow& job, Visit visit)
+    {
+        if (!job.activeTasks)
+            return;
+        for (auto& [id, worker] : this->board.workers) {
+            auto attempt = worker.attempts.lower_bound(TaskName { job.record.id });
+            for (; attempt != worker.attempts.end() && attempt->first.job == job.record.id; ++attempt)
+                visit(attempt->second);
+        }
+    }
+
     void take(const std::vector<Write>& writes, Instant sentAt, Result<KvCommitResult, KvFailure> result)
     {
         if (!this->leadership.isHolder()) {
@@ -124,8 +150,10 @@
                 continue;
             if (write.isEnd)
                 this->forget(job->second);
-            else
+            else {
                 job->second.progressRevision = result.value().revision;
+                this->stored(job->second);
+            }
         }
         this->writeNext();
     }
@@ -180,15 +208,19 @@
                 worker->endsRecorded = std::max(worker->endsRecorded, std::min(ends, worker->endsSeen));
         }
         this->recorded();
+        if (this->isWantedAgain && !this->board.unrecorded.empty())
+            this->flush();
     }
 
     Store& store;
     Leadership<Store>& leadership;
     JobBoard& board;
+    std::function<void(JobRow&)> stored;
     std::function<void()> recorded;
     std::shared_ptr<bool> alive;
     JobProgressCodec progressCodec;
     bool isUnderWay = false;
+    bool isWantedAgain = false;
     std::deque<JobId> queue;
     std::unordered_map<WorkerId, std::uint64_t> endsAtStart;
 };
--- a/modules/jobs/board/Attempt.h
+++ b/modules/jobs/board/Attempt.h
@@ -12,6 +12,10 @@
 namespace Greengage {
 
 enum class AttemptPhase {
+    /// Decided, but not stored yet, so that no order has been sent.
+    Planned,
+    /// The write that stores it is under way.
+    Recording,
     /// The order to start is under way.
     Ordered,
     /// The order got no answer; it may have been carried out, or may be until it expires.
@@ -22,7 +26,9 @@
 };
 
 template <> struct EnumNames<AttemptPhase> {
-    static constexpr std::array<std::pair<AttemptPhase, std::string_view>, 4> table { {
+    static constexpr std::array<std::pair<AttemptPhase, std::string_view>, 6> table { {
+        { AttemptPhase::Planned, "planned" },
+        { AttemptPhase::Recording, "recording" },
         { AttemptPhase::Ordered, "ordered" },
         { AttemptPhase::Unanswered, "unanswered" },
         { AttemptPhase::Running, "running" },
@@ -34,7 +40,7 @@
 struct Attempt {
     TaskName task;
     std::uint32_t run = 0;
-    AttemptPhase phase = AttemptPhase::Ordered;
+    AttemptPhase phase = AttemptPhase::Planned;
     TeamId team;
     /// What the attempt takes of the worker's room.
     Demand occupies;
@@ -45,6 +51,9 @@
     Deadline orderExpires;
     /// When it was last known to run; reports sent earlier say nothing about it.
     Instant confirmedAt;
+    /// Whether an order to start may have left this process or an earlier holder's.
+    bool mayBeSent() const { return this->phase != AttemptPhase::Planned && this->phase != AttemptPhase::Recording; }
+
     /// The worker is known to have carried the order out.
     bool isAnswered = false;
     bool fills = false;
--- a/modules/jobs/board/JobBoard.cpp
+++ b/modules/jobs/board/JobBoard.cpp
@@ -21,7 +21,7 @@
 
 } // namespace
 
-bool JobBoard::addJob(JobRecord record, const JobProgress& progress, bool isInherited)
+bool JobBoard::addJob(JobRecord record, const JobProgress& progress)
 {
     auto [entry, added] = this->jobs.try_emplace(record.id);
     if (!added)
@@ -29,8 +29,7 @@
     JobRow& job = entry->second;
     job.record = std::move(record);
     job.occurrences = emptyOccurrences(job.record.spec);
-    job.isInherited = isInherited;
-    job.hasStarted = !progress.done.empty() || !progress.failedRuns.empty();
+    job.hasStarted = !progress.done.empty() || !progress.failedRuns.empty() || !progress.placements.empty();
     for (const auto& [task, runs] : progress.failedRuns) {
         if (auto* row = this->findTask(task))
             row->failedRuns = runs;
@@ -49,10 +48,16 @@
     if (!job.activeTasks)
         return;
     for (auto& [id, worker] : this->workers) {
-        for (auto& [task, attempt] : worker.attempts) {
-            if (task.job == job.record.id)
-                attempt.phase = AttemptPhase::Stopping;
+        std::vector<TaskName> unsent;
+        auto entry = worker.attempts.lower_bound(TaskName { job.record.id });
+        for (; entry != worker.attempts.end() && entry->first.job == job.record.id; ++entry) {
+            if (entry->second.mayBeSent())
+                entry->second.phase = AttemptPhase::Stopping;
+            else
+                unsent.push_back(entry->first);
         }
+        for (const auto& task : unsent)
+            this->releaseAttempt(worker, task);
     }
 }
 
@@ -120,12 +125,19 @@
     return std::all_of(after.begin(), after.end(), [&](auto earlier) { return occurrence.steps[earlier].isDone(); });
 }
 
-bool JobBoard::isAccountedFor(const PoolId& pool, Instant now) const
+void JobBoard::inherit(JobRow& job, const std::map<TaskName, TaskPlacement>& placements, Instant now)
 {
-    if (this->inheritedLeasesOver.hasPassed(now))
-        return true;
-    return std::all_of(this->workers.begin(), this->workers.end(),
-        [&](const auto& entry) { return entry.second.facts.pool != pool || entry.second.isReached; });
+    for (const auto& [task, placement] : placements) {
+        TaskRow* row = this->findTask(task);
+        WorkerRow* worker = this->findWorker(placement.worker);
+        if (!row || row->phase != TaskPhase::Waiting)
+            continue;
+        row->run = placement.run;
+        // A worker that is neither listed nor on the stored list holds no lease any more.
+        if (!worker || worker->attempts.contains(task))
+            continue;
+        this->beginAttempt(*worker, job, task, placement.run, AttemptPhase::Unanswered, now);
+    }
 }
 
 Attempt& JobBoard::beginAttempt(
@@ -250,6 +262,8 @@
             for (std::uint32_t index = 0; index < steps[step].tasks.size(); ++index) {
                 const TaskRow& task = steps[step].tasks[index];
                 TaskName name { job.record.id, occurrence, step, index };
+                if (task.phase == TaskPhase::Active)
+                    progress.placements.emplace(name, TaskPlacement { task.worker, task.run });
                 if (task.phase == TaskPhase::Done)
                     progress.done.insert(name);
                 else if (!task.failedRuns.empty())
--- a/modules/jobs/board/JobBoard.h
+++ b/modules/jobs/board/JobBoard.h
@@ -29,7 +29,7 @@
     Deadline inheritedLeasesOver;
 
     /// Adds a job. Returns false if it is there already.
-    bool addJob(JobRecord, const JobProgress&, bool isInherited);
+    bool addJob(JobRecord, const JobProgress&);
 
     /// Ends a job: nothing of it starts any more, and what runs is stopped.
     void endJob(JobRow&, JobState);
@@ -46,8 +46,9 @@
     /// Whether the task's turn has come: the steps that it follows are done, and it is due.
     bool isReady(const JobRow&, const OccurrenceRow&, std::uint32_t step, std::int64_t nowUnixMs) const;
 
-    /// Whether every worker that may run the pool's inherited tasks has been reached or holds no lease any more.
-    bool isAccountedFor(const PoolId&, Instant now) const;
+    /// Takes over what an earlier holder had placed on workers that are still known. Each such task counts as started
+    /// until its worker says otherwise or its lease is over.
+    void inherit(JobRow&, const std::map<TaskName, TaskPlacement>&, Instant now);
 
     /// Binds a waiting task to a worker.
     Attempt& beginAttempt(WorkerRow&, JobRow&, const TaskName&, std::uint32_t run, AttemptPhase, Instant now);
--- a/modules/jobs/board/JobRow.h
+++ b/modules/jobs/board/JobRow.h
@@ -55,8 +55,6 @@
     std::uint32_t doneOccurrences = 0;
     /// Waiting or Running until the job has ended.
     JobState state = JobState::Waiting;
-    /// An earlier placing daemon may have started tasks of the job on workers that have not been heard since.
-    bool isInherited = false;
     /// The stored progress is behind what is known.
     bool isUnrecorded = false;
     /// The store's revision of the job's record.
--- a/modules/jobs/codec/JobProgressCodec.cpp
+++ b/modules/jobs/codec/JobProgressCodec.cpp
@@ -19,6 +19,11 @@
     Json::Value value(Json::objectValue);
     for (const auto& task : progress.done)
         value["done"].append(suffixOf(task));
+    for (const auto& [task, placement] : progress.placements) {
+        Json::Value& row = value["placed"][suffixOf(task)];
+        row.append(placement.worker.string());
+        row.append(placement.run);
+    }
     for (const auto& [task, runs] : progress.failedRuns) {
         for (auto run : runs)
             value["failedRuns"][suffixOf(task)].append(run);
@@ -41,6 +46,13 @@
                 return std::nullopt;
             progress.done.insert(*task);
         }
+        const Json::Value& placed = source["placed"];
+        for (auto entry = placed.begin(); entry != placed.end(); ++entry) {
+            auto task = parse(entry.name());
+            if (!task || entry->size() != 2)
+                return std::nullopt;
+            progress.placements[*task] = { WorkerId((*entry)[0].asString()), (*entry)[1].asUInt() };
+        }
         const Json::Value& failures = source["failedRuns"];
         for (auto entry = failures.begin(); entry != failures.end(); ++entry) {
             auto task = parse(entry.name());
--- a/modules/jobs/systems/PlacementSystem.cpp
+++ b/modules/jobs/systems/PlacementSystem.cpp
@@ -29,12 +29,16 @@
     return count;
 }
 
-bool takesWork(const WorkerRow& worker, Instant now)
+} // namespace
+
+bool PlacementSystem::takesWork(const WorkerRow& worker, Instant now)
 {
     return worker.isListed && worker.isRecorded && worker.isReached && !worker.isSuspect && !worker.facts.draining
         && !worker.isEvacuating && worker.setAsideUntil.hasPassed(now);
 }
 
+namespace {
+
 /// In which order jobs get room; smaller goes first.
 enum class Urgency {
     Lasting,
@@ -54,13 +58,12 @@
 std::vector<StartOrder> PlacementSystem::place(Instant now, std::int64_t nowUnixMs)
 {
     this->orders.clear();
-    this->reserveInherited(now, nowUnixMs);
     std::unordered_map<PoolId, Workers> pools;
     for (auto& [id, worker] : this->board.workers) {
         if (takesWork(worker, now))
             pools[worker.facts.pool].push_back(&worker);
     }
-    auto candidates = this->collect(now, nowUnixMs);
+    auto candidates = this->collect(nowUnixMs);
     std::sort(candidates.begin(), candidates.end(), [](const Candidate& left, const Candidate& right) {
         return std::tuple(left.urgency, left.priority, left.order, left.job->record.id)
             < std::tuple(right.urgency, right.priority, right.order, right.job->record.id);
@@ -74,9 +77,8 @@
     return std::exchange(this->orders, {});
 }
 
-std::vector<PlacementSystem::Candidate> PlacementSystem::collect(Instant now, std::int64_t nowUnixMs) const
+std::vector<PlacementSystem::Candidate> PlacementSystem::collect(std::int64_t nowUnixMs) const
 {
-    std::unordered_map<PoolId, bool> accountedFor;
     std::vector<Candidate> candidates;
     for (auto& [id, job] : this->board.jobs) {
         if (job.hasEnded())
@@ -90,15 +92,6 @@
         });
         if (!hasWaiting)
             continue;
-        if (job.isInherited) {
-            auto [entry, isNew] = accountedFor.try_emplace(queue->second.pool);
-            if (isNew)
-                entry->second = this->board.isAccountedFor(queue->second.pool, now);
-            bool isSpeculative = std::all_of(job.record.spec.steps.begin(), job.record.spec.steps.end(),
-                [](const StepSpec& step) { return step.speculative; });
-            if (!entry->second && !isSpeculative)
-                continue;
-        }
         Candidate candidate { &job, Urgency::OnTime, queue->second.priority, 0 };
         JobObjective objective(job, queue->second);
         if (job.record.spec.steps.front().lasting) {
@@ -217,49 +210,17 @@
     Demand use = demand;
     if (auto found = this->board.usage.find(job.record.team); found != this->board.usage.end())
         use += found->second;
-    if (auto found = this->inheritedUse.find(job.record.team); found != this->inheritedUse.end())
-        use += found->second;
     auto isWithin = [](std::int64_t used, std::int64_t maximum) { return !maximum || used <= maximum; };
     const Demand& maximum = team->second.maximum;
     return isWithin(use.cpuMillis, maximum.cpuMillis) && isWithin(use.memoryMegabytes, maximum.memoryMegabytes)
         && isWithin(use.accelerators, maximum.accelerators);
 }
 
-void PlacementSystem::reserveInherited(Instant now, std::int64_t nowUnixMs)
-{
-    this->inheritedUse.clear();
-    if (this->board.inheritedLeasesOver.hasPassed(now))
-        return;
-    std::unordered_map<PoolId, bool> accountedFor;
-    for (const auto& [id, job] : this->board.jobs) {
-        if (!job.isInherited || job.hasEnded())
-            continue;
-        auto queue = this->board.policies->queues.find(job.record.queue);
-        if (queue == this->board.policies->queues.end())
-            continue;
-        auto [entry, isNew] = accountedFor.try_emplace(queue->second.pool);
-        if (isNew)
-            entry->second = this->board.isAccountedFor(queue->second.pool, now);
-        if (entry->second)
-            continue;
-        for (const auto& occurrence : job.occurrences) {
-            for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
-                if (!this->board.isReady(job, occurrence, step, nowUnixMs))
-                    continue;
-                const Demand& demand = job.record.spec.steps[step].demand;
-                for (std::uint32_t count = occurrence.steps[step].waitingCount(); count > 0; --count)
-                    this->inheritedUse[job.record.team] += demand;
-            }
-        }
-    }
-}
-
 void PlacementSystem::begin(JobRow& job, const TaskName& task, WorkerRow& worker, std::uint32_t run, Instant now)
 {
-    Attempt& attempt = this->board.beginAttempt(worker, job, task, run, AttemptPhase::Ordered, now);
+    Attempt& attempt = this->board.beginAttempt(worker, job, task, run, AttemptPhase::Planned, now);
     attempt.checkpoint = this->board.findTask(task)->checkpoint;
-    attempt.orderExpires
-        = Deadline::after(now, orderValidFor + orderValidFor * workerClockSlackPercent / 100 + Milliseconds(100));
+    this->board.markUnrecorded(job);
     this->orders.push_back({ worker.facts.id, task, run });
 }
 
--- a/modules/jobs/systems/PoolLoad.cpp
+++ b/modules/jobs/systems/PoolLoad.cpp
@@ -2,6 +2,8 @@
 
 #include <jobs/board/JobBoard.h>
 
+#include <algorithm>
+
 namespace Greengage {
 
 namespace {
@@ -11,9 +13,13 @@
     for (const auto& occurrence : job.occurrences) {
         for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
             std::uint32_t count = occurrence.steps[step].waitingCount();
+            const StepSpec& spec = job.record.spec.steps[step];
+            if (spec.perWorkerLimit && (count || occurrence.steps[step].activeCount))
+                load.hostsNeeded
+                    = std::max(load.hostsNeeded, (spec.taskCount + spec.perWorkerLimit - 1) / spec.perWorkerLimit);
             if (!count || !board.isReady(job, occurrence, step, nowUnixMs))
                 continue;
-            const Demand& demand = job.record.spec.steps[step].demand;
+            const Demand& demand = spec.demand;
             load.waiting
                 += Demand { demand.cpuMillis * count, demand.memoryMegabytes * count, demand.accelerators * count };
             load.waitingTasks += count;
--- a/modules/jobs/systems/PoolLoad.h
+++ b/modules/jobs/systems/PoolLoad.h
@@ -20,6 +20,8 @@
     /// Of tasks whose turn has come.
     Demand waiting;
     std::size_t waitingTasks = 0;
+    /// The most workers that any one step needs because only so many of its tasks may share one.
+    std::uint32_t hostsNeeded = 0;
 
     static std::map<PoolId, PoolLoad> measure(const JobBoard&, std::int64_t nowUnixMs);
 };
--- a/modules/jobs/systems/PoolSizing.cpp
+++ b/modules/jobs/systems/PoolSizing.cpp
@@ -113,7 +113,8 @@
     std::int64_t present = load.occupied.cpuMillis + load.waiting.cpuMillis;
     auto arriving = static_cast<std::int64_t>(this->arrivingCpuMillis(pool, now)) * arrivalMarginPercent / 100;
     std::int64_t expected = load.lastingCpuMillis + arriving;
-    return machinesFor(std::max(present, expected), machineCpuMillis) + reserveMachines;
+    std::int64_t forWork = machinesFor(std::max(present, expected), machineCpuMillis) + reserveMachines;
+    return std::max<std::int64_t>(forWork, load.hostsNeeded + 1);
 }
 
 bool PoolSizing::isEmpty(const MachineFacts& machine) const
--- a/modules/jobs/systems/ReportSystem.cpp
+++ b/modules/jobs/systems/ReportSystem.cpp
@@ -176,7 +176,8 @@
     // A report says nothing of an attempt that was confirmed after the question, or whose order may still arrive.
     auto isGone = [&](const Attempt& attempt) {
         bool mayStillStart = !attempt.isAnswered && !attempt.orderExpires.hasPassed(sentAt);
-        return !mayStillStart && attempt.confirmedAt < sentAt && !listed.contains({ attempt.task, attempt.run });
+        return attempt.mayBeSent() && !mayStillStart && attempt.confirmedAt < sentAt
+            && !listed.contains({ attempt.task, attempt.run });
     };
     std::vector<TaskName> gone;
     for (const auto& [task, attempt] : worker.attempts) {
--- a/modules/store/http/HttpConnection.cpp
+++ b/modules/store/http/HttpConnection.cpp
@@ -1,10 +1,13 @@
 #include <store/http/HttpConnection.h>
 
 #include <core/checks/Assertion.h>
+#include <core/log/Log.h>
+#include <core/log/LogLine.h>
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/http.h>
+#include <sys/socket.h>
 
 namespace Greengage {
 
@@ -36,6 +39,14 @@
     evhttp_connection_free(this->connection);
 }
 
+void HttpConnection::abort()
+{
+    int socket = bufferevent_getfd(evhttp_connection_get_bufferevent(this->connection));
+    linger immediately { 1, 0 };
+    if (socket >= 0 && setsockopt(socket, SOL_SOCKET, SO_LINGER, &immediately, sizeof immediately) != 0)
+        writeLog(LogLevel::Warning, LogLine("connection_not_reset").add("address", this->address));
+}
+
 void HttpConnection::outputChanged(evbuffer*, const evbuffer_cb_info* info, void* context)
 {
     if (info->n_deleted > 0)
--- a/modules/store/http/HttpConnection.h
+++ b/modules/store/http/HttpConnection.h
@@ -29,6 +29,9 @@
     void startRequest() { this->written = false; }
     bool hasWritten() const { return this->written; }
 
+    /// Has the connection reset instead of closed, so that bytes which a broken network holds up are never delivered.
+    void abort();
+
 private:
     static void outputChanged(evbuffer*, const evbuffer_cb_info*, void*);
 
--- a/modules/store/http/HttpExchange.cpp
+++ b/modules/store/http/HttpExchange.cpp
@@ -100,8 +100,10 @@
 void HttpExchange::timerFired(int, short, void* context)
 {
     auto& exchange = *static_cast<HttpExchange*>(context);
-    if (!exchange.outcome)
+    if (!exchange.outcome) {
+        exchange.connection->abort();
         exchange.outcome = HttpFailure { exchange.connection->hasWritten(), "timed out" };
+    }
     auto finished = std::move(exchange.finished);
     finished(exchange);
 }
