--- a/modules/coordinator/fleet/FleetDriver.h
+++ b/modules/coordinator/fleet/FleetDriver.h
@@ -43,6 +43,9 @@
     FleetDriver(const FleetDriver&) = delete;
     FleetDriver& operator=(const FleetDriver&) = delete;
 
+    /// From now on answers that are still to come change nothing.
+    void close() { *this->alive = false; }
+
     void tick(const std::map<std::int64_t, UpkeepWave>& waves, Instant now)
     {
         if (this->nextListing.hasPassed(now) && !this->isListing)
@@ -262,18 +265,18 @@
             if (this->ordersFrom.hasPassed(now) && !this->underWay.contains(machine)
                 && !this->onTheirWay.contains(machine)
                 && (!this->notBefore.contains(machine) || this->notBefore.at(machine).hasPassed(now)))
-                this->takeDown(wave.number, machine, now);
+                this->takeDown(wave.number, machine);
         }
     }
 
-    void takeDown(std::int64_t wave, const VmId& machine, Instant now)
+    void takeDown(std::int64_t wave, const VmId& machine)
     {
         this->underWay.insert(machine);
         // Counts as down from the order on, since the answer may be lost.
         this->mayBeDown[machine] = Deadline::never();
         writeLog(LogLevel::Info, LogLine("upkeep_ordered").add("wave", wave).add("machine", machine.string()));
         this->machines.beginUpkeep(machine, wave, this->leadership.currentTerm().fencingToken,
-            [this, alive = this->alive, wave, machine, now](MachineOutcome outcome) {
+            [this, alive = this->alive, wave, machine](MachineOutcome outcome) {
                 if (*alive)
                     this->takeOutcome(wave, machine, outcome);
             });
--- a/modules/coordinator/placing/Coordinator.h
+++ b/modules/coordinator/placing/Coordinator.h
@@ -130,7 +130,9 @@
     /// Delay from a report to the round of decisions that it causes, so that reports that come together share one.
     static constexpr Milliseconds hurryDelay { 2 };
     /// How long an answer to a renewal waits for an end; the longest that workers allow.
-    static constexpr Milliseconds renewalWait { 2000 };
+    static constexpr Milliseconds longestRenewalWait { 2000 };
+    /// A lease is renewed this often at least, so that a renewal or two may fail.
+    static constexpr int renewalsPerLease = 3;
     /// Ends are stored in rounds at least this far apart.
     static constexpr Milliseconds flushPeriod { 40 };
     static constexpr Milliseconds firstRenewalRetry { 200 };
@@ -179,6 +181,16 @@
         bool areJobsLoaded = false;
         bool areWorkersListed = false;
 
+        /// Calls under way may still be answered, when another session has begun.
+        void close()
+        {
+            *this->alive = false;
+            this->jobsMirror.close();
+            this->writer.close();
+            this->crew.close();
+            this->fleet.close();
+        }
+
         /// Whether all that may run anywhere is known, but for workers that have not been reached.
         bool isComplete() const { return this->areJobsLoaded && this->areWorkersListed && this->crew.isLoaded(); }
 
@@ -218,7 +230,7 @@
     {
         if (!this->session)
             return;
-        *this->session->alive = false;
+        this->session->close();
         // The session is still on the stack of its own callbacks, so it is destroyed from the loop.
         this->retired.push_back(std::move(this->session));
         if (this->directoryWanted)
@@ -390,7 +402,7 @@
         if (worker.isReached && !worker.isSuspect) {
             order.leaseUntilClockMs = this->clockOf(worker, now) + this->limits.leaseLength.count();
             this->extendLease(worker, now, this->limits.leaseLength);
-            order.wait = renewalWait;
+            order.wait = std::min(longestRenewalWait, this->limits.leaseLength / renewalsPerLease);
         }
         renewal.isUnderWay = true;
         this->link.renew(this->endpointOf(worker), order,
@@ -460,7 +472,7 @@
             WorkerRow& worker = entry->second;
             bool isOver = worker.isSuspect && worker.leaseOver.hasPassed(now)
                 && (worker.isReached || board.inheritedLeasesOver.hasPassed(now));
-            if (isOver && !worker.attempts.empty()) {
+            if (isOver && !(worker.attempts.empty() && worker.strays.empty())) {
                 writeLog(LogLevel::Warning,
                     LogLine("worker_lease_over")
                         .add("worker", worker.facts.id.string())
--- a/modules/coordinator/placing/CrewKeeper.h
+++ b/modules/coordinator/placing/CrewKeeper.h
@@ -27,6 +27,9 @@
     CrewKeeper(const CrewKeeper&) = delete;
     CrewKeeper& operator=(const CrewKeeper&) = delete;
 
+    /// From now on answers that are still to come change nothing.
+    void close() { *this->alive = false; }
+
     /// Whether the list that the last holder left has been read.
     bool isLoaded() const { return this->hasLoaded; }
 
--- a/modules/coordinator/placing/ProgressWriter.h
+++ b/modules/coordinator/placing/ProgressWriter.h
@@ -35,6 +35,9 @@
     ProgressWriter(const ProgressWriter&) = delete;
     ProgressWriter& operator=(const ProgressWriter&) = delete;
 
+    /// From now on answers that are still to come change nothing.
+    void close() { *this->alive = false; }
+
     /// Begins a round of writes. If one is under way, another one follows it.
     void flush()
     {
--- a/modules/coordinator/store/PrefixMirror.h
+++ b/modules/coordinator/store/PrefixMirror.h
@@ -40,6 +40,13 @@
     PrefixMirror(const PrefixMirror&) = delete;
     PrefixMirror& operator=(const PrefixMirror&) = delete;
 
+    /// From now on nothing is told any more.
+    void close()
+    {
+        *this->alive = false;
+        this->timer.cancel();
+    }
+
     void start() { this->timer.schedule(Microseconds(0)); }
 
     /// When the store last answered.
@@ -76,9 +83,9 @@
         this->answeredAt = BootClock::now();
         this->revision = std::max(this->revision, result.value().revision);
         this->isListed = true;
-        std::weak_ptr<bool> watched = this->alive;
+        auto stillAlive = this->alive;
         (wasWatch ? this->handlers.changed : this->handlers.listed)(result.value());
-        if (!watched.expired())
+        if (*stillAlive)
             this->timer.schedule(Microseconds(0));
     }
 
@@ -96,9 +103,9 @@
                 LogLine("store_prefix_lost").add("prefix", this->prefix).add("reason", nameOf(failure)));
         auto pause = std::min(longestRetryPause, firstRetryPause * (1 << std::min(this->failures, 3)));
         this->failures += 1;
-        std::weak_ptr<bool> watched = this->alive;
+        auto stillAlive = this->alive;
         this->handlers.failed(failure);
-        if (!watched.expired())
+        if (*stillAlive)
             this->timer.schedule(pause);
     }
 
--- /dev/null
+++ b/modules/coordinator/tests/After.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <core/time/Instant.h>
+
+#include <event2/event.h>
+#include <functional>
+#include <memory>
+#include <sys/time.h>
+
+namespace Greengage {
+
+/// Calls back once from the loop, after the delay.
+inline void after(event_base& base, Milliseconds delay, std::function<void()> action)
+{
+    timeval span { delay.count() / 1000, (delay.count() % 1000) * 1000 };
+    auto call = [](evutil_socket_t, short, void* context) {
+        std::unique_ptr<std::function<void()>> taken(static_cast<std::function<void()>*>(context));
+        (*taken)();
+    };
+    event_base_once(&base, -1, EV_TIMEOUT, call, new std::function<void()>(std::move(action)), &span);
+}
+
+} // namespace Greengage
--- /dev/null
+++ b/modules/coordinator/tests/CoordinatorTests.cpp
@@ -0,0 +1,347 @@
+#include <coordinator/desk/JobDesk.h>
+#include <coordinator/placing/Coordinator.h>
+#include <coordinator/tests/FakeWorkers.h>
+#include <coordinator/tests/MemoryStore.h>
+#include <core/log/Log.h>
+#include <loop/memory/EventDeleter.h>
+
+#include <boost/test/unit_test.hpp>
+#include <event2/event.h>
+#include <memory>
+#include <optional>
+#include <vector>
+
+using namespace Greengage;
+
+namespace {
+
+/// One daemon: access to the store and the workers, and a coordinator.
+struct FakeDaemon {
+    static constexpr Milliseconds leaseLength { 4000 };
+    using Placing = Coordinator<MemoryStore, FakeLink, FakeMachines>;
+
+    FakeDaemon(event_base& base, MemoryTables& tables, FakeWorkers& workers, const char* name, const char* incarnation)
+        : store(base, tables)
+        , link(base, workers)
+        , machines(base)
+        , placing(base, this->store, this->link, this->machines, DaemonId(name), IncarnationId(incarnation),
+              { leaseLength, Milliseconds(0), Milliseconds(1000) })
+        , desk(this->store)
+    {
+        auto policies = std::make_shared<JobPolicies>();
+        policies->version = 1;
+        policies->pools[PoolId("north")] = { PoolId("north"), false, true };
+        QueuePolicy queue;
+        queue.id = QueueId("quick");
+        queue.pool = PoolId("north");
+        queue.maxAttempts = 3;
+        policies->queues[queue.id] = queue;
+        this->placing.setPolicies(policies);
+        this->placing.onDirectoryWanted([this](bool isWanted) {
+            if (isWanted)
+                this->placing.setWorkers(FakeDaemon::directory());
+        });
+    }
+
+    static std::vector<WorkerFacts> directory()
+    {
+        std::vector<WorkerFacts> workers;
+        for (const char* name : { "w1", "w2" }) {
+            WorkerFacts facts;
+            facts.id = WorkerId(name);
+            facts.pool = PoolId("north");
+            facts.capacity = { 8000, 64'000, 0 };
+            workers.push_back(facts);
+        }
+        return workers;
+    }
+
+    MemoryStore store;
+    FakeLink link;
+    FakeMachines machines;
+    Placing placing;
+    JobDesk<MemoryStore> desk;
+};
+
+struct CoordinatorFixture {
+    CoordinatorFixture()
+    {
+        startLog(LogLevel::Error);
+        this->first = this->makeDaemon("first", "1");
+    }
+
+    std::unique_ptr<FakeDaemon> makeDaemon(const char* name, const char* incarnation)
+    {
+        return std::make_unique<FakeDaemon>(*this->base, this->tables, this->workers, name, incarnation);
+    }
+
+    /// Runs the loop until the condition holds. False if it does not within the time.
+    template <typename Condition> bool runUntil(Condition condition, Milliseconds atMost = Milliseconds(8000))
+    {
+        auto deadline = Deadline::after(BootClock::now(), atMost);
+        while (!condition() && !deadline.hasPassed(BootClock::now())) {
+            after(*this->base, Milliseconds(2), [] {});
+            event_base_loop(this->base.get(), EVLOOP_ONCE);
+        }
+        return condition();
+    }
+
+    void runFor(Milliseconds span)
+    {
+        this->runUntil([] { return false; }, span);
+    }
+
+    JobRecord job(const std::string& id, std::uint32_t tasks)
+    {
+        JobRecord record;
+        record.id = JobId(id);
+        record.queue = QueueId("quick");
+        StepSpec step;
+        step.taskCount = tasks;
+        step.demand = { 100, 10, 0 };
+        step.estimate = Milliseconds(100);
+        record.spec.steps = { step };
+        return record;
+    }
+
+    DeskOutcome submit(FakeDaemon& daemon, const JobRecord& record)
+    {
+        std::optional<DeskOutcome> outcome;
+        daemon.desk.submit(record, Deadline::after(BootClock::now(), Milliseconds(500)),
+            [&outcome](DeskOutcome told) { outcome = told; });
+        this->runUntil([&outcome] { return outcome.has_value(); });
+        return *outcome;
+    }
+
+    StateAnswer state(FakeDaemon& daemon, const std::string& id)
+    {
+        std::optional<StateAnswer> answer;
+        daemon.desk.findState(JobId(id), [&answer](StateAnswer told) { answer = told; });
+        this->runUntil([&answer] { return answer.has_value(); });
+        return *answer;
+    }
+
+    /// Tasks are packed, so all of a small job are on one worker.
+    WorkerId busiestWorker()
+    {
+        return this->workers.workers[WorkerId("w1")].running.empty() ? WorkerId("w2") : WorkerId("w1");
+    }
+
+    bool isCompleted(const std::string& id) const { return this->tables.items.contains("gg/done/" + id); }
+
+    EventPointer<event_base> base { event_base_new() };
+    MemoryTables tables;
+    FakeWorkers workers;
+    std::unique_ptr<FakeDaemon> first;
+    std::unique_ptr<FakeDaemon> second;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(Coordinating, CoordinatorFixture)
+
+BOOST_AUTO_TEST_CASE(aSubmittedJobIsRunOnceAndShownAsCompleted)
+{
+    this->first->placing.start();
+    BOOST_TEST((this->submit(*this->first, this->job("j", 4)) == DeskOutcome::Stored));
+    BOOST_TEST(this->runUntil([this] { return this->isCompleted("j"); }));
+    BOOST_TEST(this->workers.starts == 4U);
+    BOOST_TEST(this->workers.doubled.empty());
+    StateAnswer answer = this->state(*this->first, "j");
+    BOOST_TEST((answer.outcome == DeskOutcome::Stored && answer.state == JobState::Completed));
+    BOOST_TEST((this->state(*this->first, "none").outcome == DeskOutcome::NoSuchJob));
+    // The workers may forget their ends once these are stored.
+    BOOST_TEST(this->runUntil([this] { return this->workers.notedDone.size() == 4U; }));
+}
+
+BOOST_AUTO_TEST_CASE(aSubmissionThatComesAgainStaysOneJob)
+{
+    this->first->placing.start();
+    BOOST_TEST((this->submit(*this->first, this->job("j", 2)) == DeskOutcome::Stored));
+    BOOST_TEST((this->submit(*this->first, this->job("j", 2)) == DeskOutcome::Stored));
+    BOOST_TEST(this->runUntil([this] { return this->isCompleted("j"); }));
+    BOOST_TEST((this->submit(*this->first, this->job("j", 2)) == DeskOutcome::Stored));
+    this->runFor(Milliseconds(300));
+    BOOST_TEST(this->workers.starts == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(aSubmissionWhoseAnswerWasLostIsFoundStored)
+{
+    this->first->store.loseCommits = 1;
+    BOOST_TEST((this->submit(*this->first, this->job("j", 1)) == DeskOutcome::Stored));
+    BOOST_TEST(this->tables.commits == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(aRefusedSubmissionIsNotStored)
+{
+    this->first->store.isRefusing = true;
+    BOOST_TEST((this->submit(*this->first, this->job("j", 1)) == DeskOutcome::NotStored));
+    BOOST_TEST(this->tables.items.empty());
+}
+
+BOOST_AUTO_TEST_CASE(aSubmissionToASilentStoreIsUnknown)
+{
+    this->first->store.isSilent = true;
+    BOOST_TEST((this->submit(*this->first, this->job("j", 1)) == DeskOutcome::Unknown));
+}
+
+BOOST_AUTO_TEST_CASE(noTaskStartsBeforeItsPlacementIsStored)
+{
+    this->first->placing.start();
+    this->runUntil([this] { return this->first->placing.isPlacing(); });
+    this->submit(*this->first, this->job("j", 1));
+    // From now on no write is done, though the worker could be reached.
+    this->runUntil([this] { return this->tables.items.contains("gg/crew"); });
+    std::size_t startsBefore = this->workers.starts;
+    this->first->store.isSilent = true;
+    JobRecord record = this->job("k", 1);
+    this->second = this->makeDaemon("second", "1");
+    this->submit(*this->second, record);
+    this->runFor(Milliseconds(400));
+    bool isPlaced = this->tables.items.contains("gg/job/k/progress");
+    BOOST_TEST(!isPlaced);
+    BOOST_TEST(this->workers.starts <= startsBefore + 1);
+}
+
+BOOST_AUTO_TEST_CASE(anotherDaemonGoesOnWhenTheHolderIsCutOffFromTheStore)
+{
+    this->workers.taskLength = Milliseconds(3000);
+    this->first->placing.start();
+    BOOST_REQUIRE(this->runUntil([this] { return this->first->placing.isPlacing(); }));
+    this->second = this->makeDaemon("second", "1");
+    this->second->placing.start();
+    this->submit(*this->second, this->job("j", 4));
+    BOOST_REQUIRE(this->runUntil([this] { return this->workers.starts == 4U; }));
+    this->first->store.isSilent = true;
+    BOOST_TEST(this->runUntil([this] { return this->second->placing.isPlacing(); }));
+    BOOST_TEST(this->runUntil([this] { return this->isCompleted("j"); }));
+    BOOST_TEST(this->workers.doubled.empty());
+    BOOST_TEST(this->workers.starts == 4U);
+    BOOST_TEST(!this->first->placing.leadershipState().mayAct(BootClock::now()));
+}
+
+BOOST_AUTO_TEST_CASE(tasksOnAWorkerThatTheNextHolderCannotReachAreNotDoubled)
+{
+    this->workers.taskLength = Milliseconds(20'000);
+    this->first->placing.start();
+    BOOST_REQUIRE(this->runUntil([this] { return this->first->placing.isPlacing(); }));
+    this->submit(*this->first, this->job("j", 4));
+    BOOST_REQUIRE(this->runUntil([this] { return this->workers.starts == 4U; }));
+    this->second = this->makeDaemon("second", "1");
+    this->second->link.unreachable = { WorkerId("w1"), WorkerId("w2") };
+    this->second->placing.start();
+    this->first->store.isSilent = true;
+    BOOST_REQUIRE(this->runUntil([this] { return this->second->placing.isPlacing(); }));
+    // What the old holder could last extend lapses, and only then do the tasks start again.
+    this->workers.taskLength = Milliseconds(100);
+    this->second->link.unreachable = { this->busiestWorker() };
+    BOOST_TEST(this->runUntil([this] { return this->isCompleted("j"); }, Milliseconds(15'000)));
+    BOOST_TEST(this->workers.starts > 4U);
+    BOOST_TEST(this->workers.doubled.empty());
+}
+
+BOOST_AUTO_TEST_CASE(aRestartedHolderTakesItsPartBackAtOnce)
+{
+    this->workers.taskLength = Milliseconds(600);
+    this->first->placing.start();
+    BOOST_REQUIRE(this->runUntil([this] { return this->first->placing.isPlacing(); }));
+    this->submit(*this->first, this->job("j", 4));
+    BOOST_REQUIRE(this->runUntil([this] { return this->workers.starts == 4U; }));
+    this->first->store.isSilent = true;
+    this->first->link.unreachable = { WorkerId("w1"), WorkerId("w2") };
+    this->second = this->makeDaemon("first", "2");
+    this->second->placing.start();
+    BOOST_TEST(this->runUntil([this] { return this->second->placing.isPlacing(); }, Milliseconds(300)));
+    BOOST_TEST(this->runUntil([this] { return this->isCompleted("j"); }));
+    BOOST_TEST(this->workers.doubled.empty());
+    BOOST_TEST(this->workers.starts == 4U);
+}
+
+BOOST_AUTO_TEST_CASE(aResigningHolderIsFollowedWithoutWaiting)
+{
+    this->first->placing.start();
+    BOOST_REQUIRE(this->runUntil([this] { return this->first->placing.isPlacing(); }));
+    this->second = this->makeDaemon("second", "1");
+    this->second->placing.start();
+    this->runFor(Milliseconds(100));
+    this->first->placing.resign();
+    BOOST_TEST(this->runUntil([this] { return this->second->placing.isPlacing(); }, Milliseconds(300)));
+}
+
+BOOST_AUTO_TEST_CASE(lostAnswersOfTheStoreLoseNoProgress)
+{
+    this->first->placing.start();
+    BOOST_REQUIRE(this->runUntil([this] { return this->first->placing.isPlacing(); }));
+    for (int index = 0; index < 5; ++index) {
+        this->submit(*this->first, this->job("j" + std::to_string(index), 2));
+        this->first->store.loseCommits = 2;
+    }
+    for (int index = 0; index < 5; ++index)
+        BOOST_TEST(this->runUntil([this, index] { return this->isCompleted("j" + std::to_string(index)); }));
+    BOOST_TEST(this->workers.doubled.empty());
+    BOOST_TEST(this->workers.starts == 10U);
+}
+
+BOOST_AUTO_TEST_CASE(jobsThatCameWhileHistoryWasDroppedAreFound)
+{
+    this->first->placing.start();
+    BOOST_REQUIRE(this->runUntil([this] { return this->first->placing.isPlacing(); }));
+    this->tables.historyFrom = this->tables.revision + 100;
+    this->submit(*this->first, this->job("j", 1));
+    this->tables.historyFrom = this->tables.revision;
+    BOOST_TEST(this->runUntil([this] { return this->isCompleted("j"); }));
+}
+
+/// The daemon used to end itself: a watch of its earlier session was answered right after it had lost the leadership.
+BOOST_AUTO_TEST_CASE(answersToAnEarlierSessionChangeNothing)
+{
+    this->first->placing.start();
+    BOOST_REQUIRE(this->runUntil([this] { return this->first->placing.isPlacing(); }));
+    for (int round = 0; round < 20; ++round) {
+        BOOST_REQUIRE(this->runUntil([this] { return this->first->placing.isPlacing(); }));
+        this->runFor(Milliseconds(20));
+        this->submit(*this->first, this->job("j" + std::to_string(round), 1));
+        KvCommit usurp;
+        usurp.puts = { { StoreKeys::holder, HolderRecord { DaemonId(), IncarnationId("x"), 50 }.encode() },
+            { StoreKeys::job(JobId("u" + std::to_string(round))),
+                JobRecordCodec().encode(this->job("u" + std::to_string(round), 1)) } };
+        this->first->store.commit(usurp, [](auto) {});
+    }
+    BOOST_TEST(this->runUntil([this] { return this->isCompleted("u19") && this->isCompleted("j19"); }));
+    BOOST_TEST(this->workers.doubled.empty());
+}
+
+BOOST_AUTO_TEST_CASE(aCancelledJobIsStopped)
+{
+    this->workers.taskLength = Milliseconds(60'000);
+    this->first->placing.start();
+    BOOST_REQUIRE(this->runUntil([this] { return this->first->placing.isPlacing(); }));
+    this->submit(*this->first, this->job("j", 3));
+    BOOST_REQUIRE(this->runUntil([this] { return this->workers.starts == 3U; }));
+    std::optional<DeskOutcome> outcome;
+    this->first->desk.cancel(JobId("j"), Deadline::after(BootClock::now(), Milliseconds(500)),
+        [&outcome](DeskOutcome told) { outcome = told; });
+    BOOST_TEST(this->runUntil([&outcome] { return outcome == DeskOutcome::Stored; }));
+    BOOST_TEST(this->runUntil([this] { return this->state(*this->first, "j").state == JobState::Cancelled; }));
+    BOOST_TEST(this->runUntil([this] {
+        return this->workers.workers[WorkerId("w1")].running.empty()
+            && this->workers.workers[WorkerId("w2")].running.empty();
+    }));
+    BOOST_TEST(this->workers.starts == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(whatASilentWorkerRanStartsElsewhereOnceItsLeaseIsOver)
+{
+    this->workers.taskLength = Milliseconds(1000);
+    this->first->placing.start();
+    BOOST_REQUIRE(this->runUntil([this] { return this->first->placing.isPlacing(); }));
+    this->submit(*this->first, this->job("j", 4));
+    BOOST_REQUIRE(this->runUntil([this] { return this->workers.starts == 4U; }));
+    const WorkerId host = this->busiestWorker();
+    this->workers.workers[host].running.begin()->second.endsAtMs += 60'000;
+    this->first->link.unreachable = { host };
+    BOOST_TEST(this->runUntil([this] { return this->isCompleted("j"); }));
+    BOOST_TEST(this->workers.doubled.empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/modules/coordinator/tests/FakeWorkers.h
@@ -0,0 +1,215 @@
+#pragma once
+
+#include <coordinator/fleet/MachineService.h>
+#include <coordinator/tests/After.h>
+#include <coordinator/workers/WorkerLink.h>
+#include <core/time/Deadline.h>
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace Greengage {
+
+/// Stand-ins of workers that run tasks under leases and fences, and note what would break a promise. Several daemons
+/// share them, each through a FakeLink.
+struct FakeWorkers {
+    struct Run {
+        std::uint32_t run = 0;
+        std::int64_t endsAtMs = 0;
+    };
+
+    struct Worker {
+        std::int64_t fence = 0;
+        std::int64_t leaseUntilMs = 0;
+        std::map<TaskName, Run> running;
+        std::vector<EndedAttempt> ended;
+        std::uint64_t nextEnd = 1;
+        std::set<std::pair<TaskName, std::uint32_t>> stopped;
+    };
+
+    /// How long a task runs.
+    Milliseconds taskLength { 100 };
+    std::map<WorkerId, Worker> workers;
+    /// Tasks that ended done, and how often.
+    std::map<TaskName, int> done;
+    /// Starts of a task that was running elsewhere, or was noted as done.
+    std::vector<TaskName> doubled;
+    std::set<TaskName> notedDone;
+    std::size_t starts = 0;
+
+    static std::int64_t clockMs()
+    {
+        return std::chrono::duration_cast<Milliseconds>(BootClock::now().time_since_epoch()).count();
+    }
+
+    /// Brings a worker up to the present: tasks end, leases lapse.
+    void settle(Worker& worker)
+    {
+        std::int64_t now = clockMs();
+        bool hasLapsed = worker.leaseUntilMs < now;
+        for (auto entry = worker.running.begin(); entry != worker.running.end();) {
+            bool isDone = entry->second.endsAtMs <= std::min(now, worker.leaseUntilMs);
+            if (!isDone && !hasLapsed) {
+                ++entry;
+                continue;
+            }
+            worker.ended.push_back({ worker.nextEnd++, entry->first, entry->second.run,
+                isDone ? EndKind::Done : EndKind::LeaseLapsed, {} });
+            if (isDone)
+                this->done[entry->first] += 1;
+            entry = worker.running.erase(entry);
+        }
+    }
+
+    bool isRunningAnywhere(const TaskName& task)
+    {
+        bool isRunning = false;
+        for (auto& [id, worker] : this->workers) {
+            this->settle(worker);
+            isRunning = isRunning || worker.running.contains(task);
+        }
+        return isRunning;
+    }
+};
+
+/// One daemon's way to the stand-ins.
+class FakeLink {
+public:
+    FakeLink(event_base& base, FakeWorkers& workers)
+        : base(base)
+        , workers(workers)
+    {
+    }
+
+    /// Workers that this daemon cannot reach.
+    std::set<WorkerId> unreachable;
+
+    void start(const WorkerEndpoint& endpoint, const StartAttempt& order, StartCallback callback)
+    {
+        StartOutcome outcome = StartOutcome::NoAnswer;
+        if (!this->unreachable.contains(endpoint.id))
+            outcome = this->apply(endpoint.id, order);
+        after(this->base, Milliseconds(2), [callback = std::move(callback), outcome] { callback(outcome); });
+    }
+
+    void stop(const WorkerEndpoint& endpoint, const StopAttempt& order, OrderCallback callback)
+    {
+        bool isTaken = !this->unreachable.contains(endpoint.id);
+        if (isTaken) {
+            auto& worker = this->workers.workers[endpoint.id];
+            this->workers.settle(worker);
+            worker.stopped.emplace(order.task, order.run);
+            auto found = worker.running.find(order.task);
+            if (found != worker.running.end() && found->second.run == order.run) {
+                worker.ended.push_back({ worker.nextEnd++, order.task, order.run, EndKind::Stopped, {} });
+                worker.running.erase(found);
+            }
+        }
+        after(this->base, Milliseconds(2), [callback = std::move(callback), isTaken] { callback(isTaken); });
+    }
+
+    void pace(const WorkerEndpoint&, const PaceAttempt&, OrderCallback callback)
+    {
+        after(this->base, Milliseconds(2), [callback = std::move(callback)] { callback(true); });
+    }
+
+    void renew(const WorkerEndpoint& endpoint, const RenewLease& order, ReportCallback callback)
+    {
+        if (this->unreachable.contains(endpoint.id)) {
+            after(
+                this->base, Milliseconds(50), [callback = std::move(callback)] { callback(WorkerFailure::NoAnswer); });
+            return;
+        }
+        auto& worker = this->workers.workers[endpoint.id];
+        if (order.fencingToken < worker.fence) {
+            after(this->base, Milliseconds(1), [callback = std::move(callback)] { callback(WorkerFailure::Fenced); });
+            return;
+        }
+        worker.fence = order.fencingToken;
+        this->workers.settle(worker);
+        if (order.leaseUntilClockMs)
+            worker.leaseUntilMs = std::max(worker.leaseUntilMs, *order.leaseUntilClockMs);
+        std::erase_if(worker.ended, [&](const EndedAttempt& end) {
+            bool isNoted = end.number <= order.recordedEnds;
+            if (isNoted && end.kind == EndKind::Done)
+                this->workers.notedDone.insert(end.task);
+            return isNoted;
+        });
+        this->reportLater(endpoint.id, Deadline::after(BootClock::now(), order.wait), std::move(callback));
+    }
+
+private:
+    StartOutcome apply(const WorkerId& id, const StartAttempt& order)
+    {
+        auto& worker = this->workers.workers[id];
+        this->workers.settle(worker);
+        std::int64_t now = FakeWorkers::clockMs();
+        if (order.fencingToken < worker.fence)
+            return StartOutcome::Fenced;
+        if (order.validUntilClockMs < now)
+            return StartOutcome::TooLate;
+        if (worker.stopped.contains({ order.task, order.run }))
+            return StartOutcome::Outdated;
+        if (this->workers.isRunningAnywhere(order.task) || this->workers.notedDone.contains(order.task))
+            this->workers.doubled.push_back(order.task);
+        this->workers.starts += 1;
+        worker.fence = order.fencingToken;
+        worker.leaseUntilMs = std::max(worker.leaseUntilMs, order.validUntilClockMs);
+        worker.running[order.task] = { order.run, now + this->workers.taskLength.count() };
+        return StartOutcome::Accepted;
+    }
+
+    void reportLater(const WorkerId& id, Deadline until, ReportCallback callback)
+    {
+        auto& worker = this->workers.workers[id];
+        this->workers.settle(worker);
+        if (worker.ended.empty() && !until.hasPassed(BootClock::now())) {
+            after(this->base, Milliseconds(5), [this, id, until, callback = std::move(callback)]() mutable {
+                this->reportLater(id, until, std::move(callback));
+            });
+            return;
+        }
+        WorkerReport report;
+        report.clockMs = FakeWorkers::clockMs();
+        for (const auto& [task, run] : worker.running)
+            report.running.push_back({ task, run.run, {}, 100, 0 });
+        report.ended = worker.ended;
+        after(this->base, Milliseconds(2), [callback = std::move(callback), report] { callback(report); });
+    }
+
+    event_base& base;
+    FakeWorkers& workers;
+};
+
+/// A fleet that never moves.
+class FakeMachines {
+public:
+    explicit FakeMachines(event_base& base)
+        : base(base)
+    {
+    }
+
+    void list(MachineListCallback callback)
+    {
+        after(this->base, Milliseconds(1), [callback = std::move(callback)] { callback(std::vector<MachineFacts>()); });
+    }
+
+    void beginUpkeep(const VmId&, std::int64_t, std::int64_t, MachineOrderCallback callback)
+    {
+        after(this->base, Milliseconds(1), [callback = std::move(callback)] { callback(MachineOutcome::Taken); });
+    }
+
+    void move(const VmId&, const PoolId&, std::int64_t, MachineOrderCallback callback)
+    {
+        after(this->base, Milliseconds(1), [callback = std::move(callback)] { callback(MachineOutcome::Taken); });
+    }
+
+private:
+    event_base& base;
+};
+
+} // namespace Greengage
--- /dev/null
+++ b/modules/coordinator/tests/MemoryStore.h
@@ -0,0 +1,150 @@
+#pragma once
+
+#include <coordinator/store/SharedStore.h>
+#include <coordinator/tests/After.h>
+#include <core/time/Deadline.h>
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace Greengage {
+
+/// The tables of an in-memory stand-in for the shared store. Several daemons share one, each through a MemoryStore.
+struct MemoryTables {
+    std::map<std::string, KvItem> items;
+    /// Every change, in order.
+    std::vector<KvItem> history;
+    std::int64_t revision = 1;
+    /// Watches from before this revision find their history gone.
+    std::int64_t historyFrom = 0;
+    std::size_t commits = 0;
+};
+
+/// One daemon's access to the stand-in, with the faults that its network brings.
+class MemoryStore {
+public:
+    MemoryStore(event_base& base, MemoryTables& tables)
+        : base(base)
+        , tables(tables)
+    {
+    }
+
+    /// No call is answered.
+    bool isSilent = false;
+    /// Calls are refused at once.
+    bool isRefusing = false;
+    /// The next so many commits are done, and their answers are lost.
+    int loseCommits = 0;
+
+    void read(const std::string& key, KvReadCallback callback)
+    {
+        this->answer<std::optional<KvItem>>(std::move(callback), [this, key] {
+            auto found = this->tables.items.find(key);
+            return found == this->tables.items.end() ? std::optional<KvItem>() : found->second;
+        });
+    }
+
+    void list(const std::string& prefix, KvListCallback callback)
+    {
+        this->answer<KvListing>(std::move(callback), [this, prefix] {
+            KvListing listing;
+            listing.revision = this->tables.revision;
+            for (const auto& [key, item] : this->tables.items) {
+                if (key.starts_with(prefix))
+                    listing.items.push_back(item);
+            }
+            return listing;
+        });
+    }
+
+    void watch(const std::string& prefix, std::int64_t after, Milliseconds wait, KvListCallback callback)
+    {
+        this->poll(prefix, after, Deadline::after(BootClock::now(), wait), std::move(callback));
+    }
+
+    void commit(const KvCommit& commit, KvCommitCallback callback)
+    {
+        if (this->isSilent || this->isRefusing) {
+            this->answer<KvCommitResult>(std::move(callback), [] { return KvCommitResult(); });
+            return;
+        }
+        KvCommitResult result = this->apply(commit);
+        if (this->loseCommits > 0) {
+            this->loseCommits -= 1;
+            this->later(Milliseconds(20), [callback = std::move(callback)] { callback(KvFailure::Unanswered); });
+            return;
+        }
+        this->later(Milliseconds(1), [callback = std::move(callback), result] { callback(result); });
+    }
+
+private:
+    KvCommitResult apply(const KvCommit& commit)
+    {
+        KvCommitResult result;
+        bool holds = true;
+        for (const auto& [key, revision] : commit.expected) {
+            auto found = this->tables.items.find(key);
+            holds = holds && (found == this->tables.items.end() ? 0 : found->second.revision) == revision;
+            if (found != this->tables.items.end())
+                result.current.push_back(found->second);
+        }
+        if (!holds)
+            return result;
+        this->tables.commits += 1;
+        this->tables.revision += 1;
+        for (const auto& [key, value] : commit.puts) {
+            this->tables.items[key] = { key, value, this->tables.revision, false };
+            this->tables.history.push_back(this->tables.items[key]);
+        }
+        for (const auto& key : commit.removals) {
+            if (this->tables.items.erase(key))
+                this->tables.history.push_back({ key, {}, this->tables.revision, true });
+        }
+        return { true, this->tables.revision, {} };
+    }
+
+    template <typename Value, typename Make>
+    void answer(std::function<void(Result<Value, KvFailure>)> callback, Make make)
+    {
+        if (this->isSilent)
+            this->later(Milliseconds(50), [callback = std::move(callback)] { callback(KvFailure::Unanswered); });
+        else if (this->isRefusing)
+            this->later(Milliseconds(1), [callback = std::move(callback)] { callback(KvFailure::Refused); });
+        else
+            this->later(Milliseconds(1), [callback = std::move(callback), made = make()] { callback(made); });
+    }
+
+    void poll(const std::string& prefix, std::int64_t after, Deadline until, KvListCallback callback)
+    {
+        if (this->isSilent || this->isRefusing) {
+            this->answer<KvListing>(std::move(callback), [] { return KvListing(); });
+            return;
+        }
+        if (after < this->tables.historyFrom) {
+            this->later(Milliseconds(1), [callback = std::move(callback)] { callback(KvFailure::HistoryGone); });
+            return;
+        }
+        KvListing changes;
+        changes.revision = this->tables.revision;
+        for (const auto& item : this->tables.history) {
+            if (item.revision > after && item.key.starts_with(prefix))
+                changes.items.push_back(item);
+        }
+        if (!changes.items.empty() || until.hasPassed(BootClock::now())) {
+            this->later(Milliseconds(1), [callback = std::move(callback), changes] { callback(changes); });
+            return;
+        }
+        this->later(Milliseconds(2), [this, prefix, after, until, callback = std::move(callback)]() mutable {
+            this->poll(prefix, after, until, std::move(callback));
+        });
+    }
+
+    void later(Milliseconds delay, std::function<void()> action) { after(this->base, delay, std::move(action)); }
+
+    event_base& base;
+    MemoryTables& tables;
+};
+
+} // namespace Greengage
--- /dev/null
+++ b/modules/jobs/tests/BoardTests.cpp
@@ -0,0 +1,117 @@
+#include "BoardFixture.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace Greengage;
+
+BOOST_FIXTURE_TEST_SUITE(Board, BoardFixture)
+
+BOOST_AUTO_TEST_CASE(aStepWaitsForTheStepsBeforeIt)
+{
+    this->addWorker("w1");
+    StepSpec second = step(1, 1000);
+    second.after = { 0 };
+    this->addJob("j", { step(2, 1000), second });
+    BOOST_TEST(this->placeAndRun().size() == 2U);
+    this->end(task("j", 0, 0), EndKind::Done);
+    BOOST_TEST(this->place().empty());
+    this->end(task("j", 0, 1), EndKind::Done);
+    auto orders = this->placeAndRun();
+    BOOST_REQUIRE(orders.size() == 1U);
+    BOOST_TEST((orders.front().task == task("j", 1, 0)));
+}
+
+BOOST_AUTO_TEST_CASE(aJobIsCompletedWhenItsLastTaskIsDone)
+{
+    this->addWorker("w1");
+    JobRow& job = this->addJob("j", { step(2, 1000) });
+    this->placeAndRun();
+    this->end(task("j", 0, 0), EndKind::Done);
+    BOOST_TEST((job.state == JobState::Running));
+    this->end(task("j", 0, 1), EndKind::Done);
+    BOOST_TEST((job.state == JobState::Completed));
+    BOOST_TEST(this->board.unrecorded.contains(JobId("j")));
+    BOOST_TEST(this->board.usage[TeamId("bakers")].cpuMillis == 0);
+    BOOST_TEST(this->board.workers.at(WorkerId("w1")).occupied.cpuMillis == 0);
+}
+
+BOOST_AUTO_TEST_CASE(aTaskThatFailsTooOftenFailsItsJobAndStopsTheOthers)
+{
+    this->addWorker("w1");
+    this->addWorker("w2");
+    JobRow& job = this->addJob("j", { step(2, 1000) });
+    this->placeAndRun();
+    for (int failure = 0; failure < 3; ++failure) {
+        BOOST_TEST((job.state == JobState::Running));
+        this->end(task("j", 0, 0), EndKind::Failed);
+        this->advance(ReportSystem::setAsideFor);
+        this->placeAndRun();
+    }
+    BOOST_TEST((job.state == JobState::Failed));
+    const TaskRow& other = *this->board.findTask(task("j", 0, 1));
+    const Attempt& attempt = this->board.findWorker(other.worker)->attempts.at(task("j", 0, 1));
+    BOOST_TEST((attempt.phase == AttemptPhase::Stopping));
+}
+
+BOOST_AUTO_TEST_CASE(aFailureThatIsReportedAgainCountsOnce)
+{
+    WorkerRow& worker = this->addWorker("w1");
+    this->addJob("j", { step(1, 1000) });
+    this->placeAndRun();
+    this->end(task("j", 0, 0), EndKind::Failed);
+    // A new holder has not taken note of the end, and the worker lists it again.
+    worker.endsSeen = 0;
+    WorkerReport again;
+    again.ended.push_back({ 1, task("j", 0, 0), 1, EndKind::Failed, {} });
+    this->report(worker, again);
+    BOOST_TEST(this->board.findTask(task("j", 0, 0))->failedRuns.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(aCancelledJobStopsWhatRunsAndForgetsWhatWasNeverOrdered)
+{
+    WorkerRow& worker = this->addWorker("w1");
+    JobRow& job = this->addJob("j", { step(2, 1000) });
+    this->placeAndRun();
+    this->addJob("k", { step(1, 1000) });
+    this->place();
+    this->board.endJob(job, JobState::Cancelled);
+    this->board.endJob(this->board.jobs.at(JobId("k")), JobState::Cancelled);
+    BOOST_TEST(worker.attempts.size() == 2U);
+    for (const auto& [name, attempt] : worker.attempts)
+        BOOST_TEST((attempt.phase == AttemptPhase::Stopping));
+    BOOST_TEST(this->board.usage[TeamId("bakers")].cpuMillis == 2000);
+}
+
+BOOST_AUTO_TEST_CASE(whatStillRunsOfAForgottenJobKeepsItsRoomUntilItHasEnded)
+{
+    WorkerRow& worker = this->addWorker("w1");
+    JobRow& job = this->addJob("j", { step(1, 3000) });
+    this->placeAndRun();
+    this->board.endJob(job, JobState::Cancelled);
+    this->board.forgetJob(JobId("j"));
+    BOOST_TEST(worker.strays.size() == 1U);
+    BOOST_TEST(worker.occupied.cpuMillis == 3000);
+    WorkerReport report;
+    report.ended.push_back({ 1, task("j", 0, 0), 1, EndKind::Stopped, {} });
+    this->report(worker, report);
+    BOOST_TEST(worker.strays.empty());
+    BOOST_TEST(worker.occupied.cpuMillis == 0);
+    BOOST_TEST(this->board.usage[TeamId("bakers")].cpuMillis == 0);
+}
+
+BOOST_AUTO_TEST_CASE(progressComesBackAsItWasStored)
+{
+    this->addWorker("w1");
+    JobRow& job = this->addJob("j", { step(3, 1000) });
+    this->placeAndRun();
+    this->end(task("j", 0, 0), EndKind::Done);
+    this->end(task("j", 0, 1), EndKind::Failed);
+    auto text = JobProgressCodec().encode(this->board.progressOf(job));
+    auto decoded = JobProgressCodec().decode(JobId("j"), text);
+    BOOST_REQUIRE(decoded.has_value());
+    BOOST_TEST(decoded->done.contains(task("j", 0, 0)));
+    BOOST_TEST(decoded->failedRuns.at(task("j", 0, 1)).size() == 1U);
+    BOOST_TEST(decoded->placements.at(task("j", 0, 2)).worker.string() == "w1");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/modules/jobs/tests/ReportTests.cpp
@@ -0,0 +1,140 @@
+#include "BoardFixture.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace Greengage;
+
+BOOST_FIXTURE_TEST_SUITE(Reports, BoardFixture)
+
+BOOST_AUTO_TEST_CASE(anInheritedTaskIsNotStartedElsewhereWhileItsWorkerIsUnknown)
+{
+    this->addWorker("reached");
+    WorkerRow& cutOff = this->addWorker("cut-off");
+    cutOff.isReached = false;
+    cutOff.isSuspect = true;
+    JobRow& job = this->addJob("j", { step(2, 1000) });
+    this->board.inherit(job, { { task("j", 0, 0), { WorkerId("cut-off"), 1 } } }, this->now);
+    auto orders = this->place();
+    // Only the task that was stored as placed waits; the other was certainly not started.
+    BOOST_REQUIRE(orders.size() == 1U);
+    BOOST_TEST((orders.front().task == task("j", 0, 1)));
+    // Once the worker's lease is over, the task starts elsewhere under a higher number.
+    this->board.clearWorker(cutOff);
+    orders = this->place();
+    BOOST_REQUIRE(orders.size() == 1U);
+    BOOST_TEST(orders.front().worker.string() == "reached");
+    BOOST_TEST(orders.front().run == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(anInheritedTaskGoesOnWhereItRuns)
+{
+    WorkerRow& worker = this->addWorker("w1");
+    JobRow& job = this->addJob("j", { step(1, 1000) });
+    this->board.inherit(job, { { task("j", 0, 0), { WorkerId("w1"), 4 } } }, this->now);
+    WorkerReport report;
+    report.running.push_back({ task("j", 0, 0), 4, "saved", 100, 0 });
+    this->report(worker, report);
+    BOOST_TEST((worker.attempts.at(task("j", 0, 0)).phase == AttemptPhase::Running));
+    BOOST_TEST(this->place().empty());
+}
+
+BOOST_AUTO_TEST_CASE(anInheritedTaskThatItsWorkerDoesNotListStartsAnew)
+{
+    WorkerRow& worker = this->addWorker("w1");
+    JobRow& job = this->addJob("j", { step(1, 1000) });
+    this->board.inherit(job, { { task("j", 0, 0), { WorkerId("w1"), 4 } } }, this->now);
+    this->report(worker, {});
+    auto orders = this->place();
+    BOOST_REQUIRE(orders.size() == 1U);
+    BOOST_TEST(orders.front().run == 5U);
+}
+
+BOOST_AUTO_TEST_CASE(anUnansweredOrderHoldsItsTaskUntilItCanNoLongerBeCarriedOut)
+{
+    WorkerRow& worker = this->addWorker("w1");
+    this->addJob("j", { step(1, 1000) });
+    this->place();
+    Attempt& attempt = worker.attempts.at(task("j", 0, 0));
+    attempt.phase = AttemptPhase::Unanswered;
+    attempt.orderExpires = Deadline::after(this->now, PlacementSystem::orderValidFor);
+    this->report(worker, {});
+    BOOST_TEST(worker.attempts.contains(task("j", 0, 0)));
+    this->advance(PlacementSystem::orderValidFor);
+    this->report(worker, {});
+    BOOST_TEST(!worker.attempts.contains(task("j", 0, 0)));
+}
+
+BOOST_AUTO_TEST_CASE(aReportSaysNothingOfWhatWasConfirmedAfterItsQuestion)
+{
+    WorkerRow& worker = this->addWorker("w1");
+    this->addJob("j", { step(1, 1000) });
+    Instant sentAt = this->now;
+    this->advance(Milliseconds(5));
+    this->placeAndRun();
+    ReportSystem(this->board).apply(worker, {}, sentAt, this->now);
+    BOOST_TEST(worker.attempts.contains(task("j", 0, 0)));
+}
+
+BOOST_AUTO_TEST_CASE(aPlannedAttemptIsNotTakenForLost)
+{
+    WorkerRow& worker = this->addWorker("w1");
+    this->addJob("j", { step(1, 1000) });
+    this->place();
+    this->report(worker, {});
+    BOOST_TEST(worker.attempts.contains(task("j", 0, 0)));
+}
+
+BOOST_AUTO_TEST_CASE(anAttemptOfAnUnknownJobIsStopped)
+{
+    WorkerRow& worker = this->addWorker("w1");
+    WorkerReport report;
+    report.running.push_back({ task("unknown", 0, 0), 1, {}, 100, 0 });
+    auto events = this->report(worker, report);
+    BOOST_REQUIRE(events.size() == 1U);
+    BOOST_TEST((events.front().kind == AttemptEventKind::Unwanted));
+    BOOST_TEST(worker.strays.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(aLostTaskResumesFromItsCheckpoint)
+{
+    WorkerRow& worker = this->addWorker("w1");
+    this->addJob("j", { step(1, 1000) });
+    this->placeAndRun();
+    auto report = this->faithfulReport(worker);
+    report.running.front().checkpoint = "half";
+    this->report(worker, report);
+    this->board.clearWorker(worker);
+    worker.isReached = true;
+    this->place();
+    BOOST_TEST(worker.attempts.at(task("j", 0, 0)).checkpoint == "half");
+}
+
+BOOST_AUTO_TEST_CASE(aWorkerThatFailsAllIsSetAsideAndTriedAgainLater)
+{
+    this->addWorker("bad");
+    this->addJob("j", { step(1, 1000) });
+    this->addJob("k", { step(1, 1000) });
+    this->placeAndRun();
+    this->end(task("j", 0, 0), EndKind::Failed);
+    this->end(task("k", 0, 0), EndKind::Failed);
+    BOOST_TEST(this->place().empty());
+    this->advance(ReportSystem::setAsideFor);
+    BOOST_TEST(!this->place().empty());
+}
+
+BOOST_AUTO_TEST_CASE(anEndOfAnyAttemptFinishesTheTaskAndStopsAnother)
+{
+    this->addWorker("w1");
+    this->addWorker("w2");
+    this->addJob("j", { step(1, 1000) });
+    this->placeAndRun();
+    WorkerId first = this->board.findTask(task("j", 0, 0))->worker;
+    WorkerRow& other = this->board.workers.at(WorkerId(first.string() == "w1" ? "w2" : "w1"));
+    WorkerReport report;
+    report.ended.push_back({ 1, task("j", 0, 0), 7, EndKind::Done, {} });
+    this->report(other, report);
+    BOOST_TEST((this->board.jobs.at(JobId("j")).state == JobState::Completed));
+    BOOST_TEST((this->board.workers.at(first).attempts.at(task("j", 0, 0)).phase == AttemptPhase::Stopping));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/modules/jobs/tests/SizingTests.cpp
@@ -0,0 +1,164 @@
+#include "BoardFixture.h"
+
+#include <jobs/model/UpkeepWave.h>
+#include <jobs/systems/PoolSizing.h>
+#include <jobs/systems/UpkeepSystem.h>
+
+#include <boost/test/unit_test.hpp>
+
+using namespace Greengage;
+
+namespace {
+
+struct FleetFixture : BoardFixture {
+    void addMachine(const std::string& id, const char* pool)
+    {
+        MachineFacts facts;
+        facts.id = VmId(id);
+        facts.pool = PoolId(pool);
+        facts.state = MachineState::Up;
+        facts.capacity = { 8000, 64'000, 0 };
+        if (std::string(pool) != "spare") {
+            facts.worker = WorkerId("w-" + id);
+            this->addWorker("w-" + id, pool);
+        }
+        this->machines[facts.id] = facts;
+    }
+
+    std::vector<MoveOrder> size() { return this->sizing.advance(this->machines, {}, {}, this->now, this->unixMs); }
+
+    std::map<VmId, MachineFacts> machines;
+    PoolSizing sizing { this->board };
+    UpkeepSystem upkeep { this->board };
+};
+
+std::size_t movesTo(const std::vector<MoveOrder>& orders, const char* pool)
+{
+    return static_cast<std::size_t>(
+        std::count_if(orders.begin(), orders.end(), [&](const auto& order) { return order.to.string() == pool; }));
+}
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(Sizing, FleetFixture)
+
+/// The load: one queue asks for several times what its pool holds, the other for next to nothing.
+BOOST_AUTO_TEST_CASE(aBurstBringsVmsFromTheSparePoolAndThenFromIdlePools)
+{
+    for (int index = 0; index < 4; ++index) {
+        this->addMachine("n" + std::to_string(index), "north");
+        this->addMachine("s" + std::to_string(index), "south");
+    }
+    this->addMachine("p0", "spare");
+    this->addJob("burst", { step(56, 1000) });
+    this->placeAndRun();
+    auto orders = this->size();
+    // 56 cores and a reserve of two VMs of eight cores want nine VMs; three more than four plus the spare one come
+    // from the idle pool, which keeps its reserve.
+    BOOST_TEST(movesTo(orders, "north") == 3U);
+    BOOST_TEST((orders.front().from.string() == "spare"));
+    for (const auto& order : orders) {
+        if (auto* worker = this->board.findWorker(this->machines.at(order.machine).worker))
+            BOOST_TEST(worker->attempts.empty());
+    }
+}
+
+BOOST_AUTO_TEST_CASE(arrivingWorkBringsVmsBeforeAnythingWaits)
+{
+    for (int index = 0; index < 3; ++index)
+        this->addMachine("n" + std::to_string(index), "north");
+    for (int index = 0; index < 4; ++index)
+        this->addMachine("p" + std::to_string(index), "spare");
+    JobSpec spec;
+    spec.steps = { step(10, 1000) };
+    for (int arrival = 0; arrival < 3; ++arrival)
+        this->sizing.noteArrival(PoolId("north"), spec, this->now);
+    BOOST_TEST(movesTo(this->size(), "north") > 0U);
+}
+
+BOOST_AUTO_TEST_CASE(idleVmsAreSwitchedOffAfterAWhileButForTheReserve)
+{
+    for (int index = 0; index < 5; ++index)
+        this->addMachine("n" + std::to_string(index), "north");
+    for (int index = 0; index < PoolSizing::reserveMachines; ++index)
+        this->addMachine("s" + std::to_string(index), "south");
+    BOOST_TEST(movesTo(this->size(), "spare") == 0U);
+    this->advance(PoolSizing::keepIdleFor);
+    BOOST_TEST(movesTo(this->size(), "spare") == 5U - PoolSizing::reserveMachines);
+}
+
+BOOST_AUTO_TEST_CASE(aVmWithWorkOnItIsNeverMoved)
+{
+    for (int index = 0; index < 5; ++index)
+        this->addMachine("n" + std::to_string(index), "north");
+    StepSpec lasting = step(5, 100);
+    lasting.lasting = true;
+    lasting.perWorkerLimit = 1;
+    this->addJob("lasting", { lasting });
+    this->placeAndRun();
+    this->size();
+    this->advance(Seconds(60));
+    BOOST_TEST(this->size().empty());
+}
+
+BOOST_AUTO_TEST_CASE(aPoolKeepsAsManyVmsAsALastingStepNeedsHosts)
+{
+    for (int index = 0; index < 8; ++index)
+        this->addMachine("p" + std::to_string(index), "spare");
+    this->addMachine("n0", "north");
+    StepSpec lasting = step(5, 100);
+    lasting.lasting = true;
+    lasting.perWorkerLimit = 1;
+    this->addJob("lasting", { lasting });
+    this->placeAndRun();
+    BOOST_TEST(movesTo(this->size(), "north") >= 4U);
+}
+
+BOOST_AUTO_TEST_CASE(aWaveTakesDownOnlyAsManyVmsAsItMay)
+{
+    UpkeepWave wave;
+    wave.number = 1;
+    wave.maximum = 2;
+    wave.dueBy = Deadline::after(this->now, Seconds(30));
+    for (int index = 0; index < 9; ++index) {
+        this->addMachine("n" + std::to_string(index), "north");
+        wave.machines.emplace_back("n" + std::to_string(index));
+    }
+    auto ready = this->upkeep.advance(wave, this->machines, {}, this->now);
+    BOOST_REQUIRE(ready.size() == 2U);
+    std::map<VmId, Deadline> down;
+    for (const auto& machine : ready)
+        down[machine] = Deadline::after(this->now, Seconds(2));
+    BOOST_TEST(this->upkeep.advance(wave, this->machines, down, this->now).empty());
+}
+
+BOOST_AUTO_TEST_CASE(aWaveEmptiesAVmWithinWhatALastingStepMayMiss)
+{
+    UpkeepWave wave;
+    wave.number = 1;
+    wave.maximum = 9;
+    wave.dueBy = Deadline::after(this->now, Seconds(3));
+    for (int index = 0; index < 3; ++index) {
+        this->addMachine("n" + std::to_string(index), "north");
+        wave.machines.emplace_back("n" + std::to_string(index));
+    }
+    StepSpec lasting = step(3, 100);
+    lasting.lasting = true;
+    lasting.perWorkerLimit = 1;
+    lasting.mayMiss = 1;
+    this->addJob("lasting", { lasting });
+    this->placeAndRun();
+    auto stopping = [this] {
+        std::size_t count = 0;
+        for (const auto& [id, worker] : this->board.workers) {
+            for (const auto& [name, attempt] : worker.attempts)
+                count += attempt.phase == AttemptPhase::Stopping ? 1 : 0;
+        }
+        return count;
+    };
+    this->upkeep.advance(wave, this->machines, {}, this->now);
+    this->upkeep.advance(wave, this->machines, {}, this->now);
+    BOOST_TEST(stopping() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
