--- a/modules/coordinator/leadership/Leadership.h
+++ b/modules/coordinator/leadership/Leadership.h
@@ -40,9 +40,9 @@
     /// The part of the validity in which duties are given. With the longest call it ends before the next holder's first
     /// duty, which is the silence limit and a duty term after the last beat.
     static constexpr Milliseconds dutyValidity { 2000 };
-    static constexpr Milliseconds beatPeriod { 600 };
+    static constexpr Milliseconds beatPeriod { 400 };
     /// A holder that has not rewritten its beat for so long is taken for gone. Three missed beats.
-    static constexpr Milliseconds silenceLimit { 1800 };
+    static constexpr Milliseconds silenceLimit { 1300 };
     static constexpr Milliseconds checkPeriod { 100 };
     static constexpr Milliseconds watchWait { 1000 };
 
