--- a/modules/coordinator/leadership/Leadership.h
+++ b/modules/coordinator/leadership/Leadership.h
@@ -44,7 +44,8 @@
     /// A holder that has not rewritten its beat for so long is taken for gone. Three missed beats.
     static constexpr Milliseconds silenceLimit { 1300 };
     static constexpr Milliseconds checkPeriod { 100 };
-    static constexpr Milliseconds watchWait { 1000 };
+    /// No longer than the time between beats: whether the holder is silent is decided when a watch is answered.
+    static constexpr Milliseconds watchWait { 400 };
 
     Leadership(event_base& base, Store& store, DaemonId daemon, IncarnationId incarnation, Handlers handlers)
         : store(store)
