--- a/modules/coordinator/placing/Coordinator.h
+++ b/modules/coordinator/placing/Coordinator.h
@@ -131,11 +131,12 @@
     static constexpr Milliseconds hurryDelay { 2 };
     /// How long an answer to a renewal waits for an end; the longest that workers allow.
     static constexpr Milliseconds longestRenewalWait { 2000 };
-    /// A lease is renewed this often at least, so that a renewal or two may fail.
-    static constexpr int renewalsPerLease = 3;
+    /// A lease is renewed this often at least, so that several renewals in a row may fail.
+    static constexpr int renewalsPerLease = 4;
     /// Ends are stored in rounds at least this far apart.
     static constexpr Milliseconds flushPeriod { 40 };
-    static constexpr Milliseconds firstRenewalRetry { 200 };
+    static constexpr Milliseconds firstRenewalRetry { 100 };
+    static constexpr int retriesWithoutPause = 2;
     static constexpr Milliseconds longestRenewalRetry { 1000 };
     /// The most time that a reported end waits to be stored before the lease is renewed anyway.
     static constexpr Milliseconds longestRecordWait { 300 };
@@ -148,6 +149,7 @@
 
     struct Renewal {
         bool isUnderWay = false;
+        bool isProbing = false;
         Deadline next;
         int failures = 0;
     };
@@ -255,6 +257,7 @@
         this->isHurrying = false;
         if (this->leadership.mayAct(now)) {
             this->renewLeases(now);
+            this->probeUnanswered(now);
             this->clearSilentWorkers(now);
             this->session->crew.tick();
             if (this->session->isComplete()) {
@@ -412,6 +415,50 @@
             });
     }
 
+    /// Asks a worker at once what it runs, beside the renewal that waits for an end.
+    void probe(WorkerRow& worker, Instant now)
+    {
+        Renewal& renewal = this->session->renewals[worker.facts.id];
+        if (renewal.isProbing)
+            return;
+        renewal.isProbing = true;
+        RenewLease order;
+        order.fencingToken = this->session->token;
+        order.recordedEnds = worker.endsRecorded;
+        this->link.renew(this->endpointOf(worker), order,
+            [this, alive = this->session->alive, id = worker.facts.id, now](auto result) {
+                if (!*alive)
+                    return;
+                this->session->renewals[id].isProbing = false;
+                WorkerRow* row = this->session->board.findWorker(id);
+                if (!row)
+                    return;
+                if (!result.has_value()) {
+                    row->isSuspect = true;
+                    return;
+                }
+                bool isSameLife = !result.value().bornUnixMs || result.value().bornUnixMs == row->facts.bornUnixMs;
+                if (!isSameLife || !row->isReached)
+                    return;
+                this->logEvents(this->session->reports.apply(*row, result.value(), now, BootClock::now()));
+                this->hurry();
+            });
+    }
+
+    /// Settles orders that got no answer as soon as they can no longer be carried out.
+    void probeUnanswered(Instant now)
+    {
+        for (auto& [id, worker] : this->session->board.workers) {
+            bool isOpen = worker.isReached && !worker.isSuspect
+                && std::any_of(worker.attempts.begin(), worker.attempts.end(), [now](const auto& entry) {
+                       return entry.second.phase == AttemptPhase::Unanswered
+                           && entry.second.orderExpires.hasPassed(now);
+                   });
+            if (isOpen)
+                this->probe(worker, now);
+        }
+    }
+
     void takeReport(const WorkerId& id, Instant sentAt, Result<WorkerReport, WorkerFailure> result)
     {
         Renewal& renewal = this->session->renewals[id];
@@ -454,7 +501,11 @@
                     .add("worker", worker.facts.id.string())
                     .add("reason", nameOf(failure))
                     .add("attempts", worker.attempts.size()));
-        auto pause = std::min(longestRenewalRetry, firstRenewalRetry * (1 << std::min(renewal.failures, 3)));
+        // The first failures may be lost answers, and the lease is running out.
+        Milliseconds pause { 0 };
+        if (renewal.failures >= retriesWithoutPause)
+            pause = std::min(
+                longestRenewalRetry, firstRenewalRetry * (1 << std::min(renewal.failures - retriesWithoutPause, 4)));
         renewal.failures += 1;
         renewal.next = Deadline::after(now, pause);
         worker.isSuspect = true;
@@ -587,7 +638,8 @@
         if (outcome == StartOutcome::NoAnswer) {
             if (attempt.phase == AttemptPhase::Ordered)
                 attempt.phase = AttemptPhase::Unanswered;
-            worker->isSuspect = true;
+            worker->setAsideUntil = std::max(worker->setAsideUntil, Deadline::after(now, refusalPause));
+            this->probe(*worker, now);
             return;
         }
         if (outcome == StartOutcome::Fenced) {
--- a/modules/jobs/systems/PlacementSystem.h
+++ b/modules/jobs/systems/PlacementSystem.h
@@ -21,7 +21,7 @@
 public:
     /// How long a start order stays valid at the worker. Shorter than the shortest delay after which a network that
     /// held an order back delivers it, so that an order without an answer cannot be carried out by surprise.
-    static constexpr Milliseconds orderValidFor { 1500 };
+    static constexpr Milliseconds orderValidFor { 700 };
 
     explicit PlacementSystem(JobBoard& board)
         : board(board)
