--- a/modules/coordinator/fleet/FleetDriver.h
+++ b/modules/coordinator/fleet/FleetDriver.h
@@ -56,8 +56,11 @@
         std::erase_if(this->onTheirWay, [now](const auto& entry) { return entry.second.until.hasPassed(now); });
         if (!this->leadership.mayGiveDuties(now))
             return;
+        // Until then, tasks that the earlier holder has told to stop may still look as if they were at work.
+        if (!this->ordersFrom.hasPassed(now))
+            return;
         this->tickWaves(waves, now);
-        if (this->ordersFrom.hasPassed(now) && this->nextSizing.hasPassed(now)) {
+        if (this->nextSizing.hasPassed(now)) {
             this->nextSizing = Deadline::after(now, sizingPeriod);
             this->sizePools(now);
         }
@@ -262,8 +265,7 @@
         }
         this->isEmptying = true;
         for (const auto& machine : this->system.advance(current, this->fleet, this->mayBeDown, now)) {
-            if (this->ordersFrom.hasPassed(now) && !this->underWay.contains(machine)
-                && !this->onTheirWay.contains(machine)
+            if (!this->underWay.contains(machine) && !this->onTheirWay.contains(machine)
                 && (!this->notBefore.contains(machine) || this->notBefore.at(machine).hasPassed(now)))
                 this->takeDown(wave.number, machine);
         }
--- a/modules/coordinator/placing/Coordinator.h
+++ b/modules/coordinator/placing/Coordinator.h
@@ -319,7 +319,7 @@
     void takeJob(const JobId& id, const KvItem& item, const JobProgress& progress, std::int64_t progressRevision)
     {
         JobBoard& board = this->session->board;
-        if (board.jobs.contains(id))
+        if (board.jobs.contains(id) || board.forgotten.contains(id))
             return;
         auto record = this->recordCodec.decode(item.value);
         if (!record || record->id != id) {
--- a/modules/coordinator/tests/CoordinatorTests.cpp
+++ b/modules/coordinator/tests/CoordinatorTests.cpp
@@ -311,6 +311,25 @@
     BOOST_TEST(this->workers.doubled.empty());
 }
 
+/// A listing that was made before a job ended and answered after it used to bring the job back, and its tasks ran
+/// twice.
+BOOST_AUTO_TEST_CASE(aLateListingDoesNotBringAnEndedJobBack)
+{
+    this->workers.taskLength = Milliseconds(150);
+    this->first->placing.start();
+    BOOST_REQUIRE(this->runUntil([this] { return this->first->placing.isPlacing(); }));
+    this->submit(*this->first, this->job("j", 3));
+    BOOST_REQUIRE(this->runUntil([this] { return this->workers.starts == 3U; }));
+    this->first->store.listDelay = Milliseconds(600);
+    this->tables.historyFrom = this->tables.revision + 1000;
+    this->runFor(Milliseconds(30));
+    this->tables.historyFrom = 0;
+    BOOST_TEST(this->runUntil([this] { return this->isCompleted("j"); }));
+    this->runFor(Milliseconds(2500));
+    BOOST_TEST(this->workers.starts == 3U);
+    BOOST_TEST(this->workers.doubled.empty());
+}
+
 BOOST_AUTO_TEST_CASE(aCancelledJobIsStopped)
 {
     this->workers.taskLength = Milliseconds(60'000);
@@ -330,6 +349,34 @@
     BOOST_TEST(this->workers.starts == 3U);
 }
 
+/// The load: orders to workers are lost or held up for seconds. A job used to wait four seconds for each lost order.
+BOOST_AUTO_TEST_CASE(aLostStartIsOrderedAgainWithinASecondOrSo)
+{
+    this->first->placing.start();
+    BOOST_REQUIRE(this->runUntil([this] { return this->first->placing.isPlacing(); }));
+    this->submit(*this->first, this->job("warm", 1));
+    BOOST_REQUIRE(this->runUntil([this] { return this->isCompleted("warm"); }));
+    this->first->link.loseStarts = 2;
+    this->submit(*this->first, this->job("j", 2));
+    BOOST_TEST(this->runUntil([this] { return this->isCompleted("j"); }, Milliseconds(2000)));
+    BOOST_TEST(this->workers.doubled.empty());
+}
+
+/// Several renewals in a row used to let the lease lapse.
+BOOST_AUTO_TEST_CASE(threeLostRenewalsInARowLetNoLeaseLapse)
+{
+    this->workers.taskLength = Milliseconds(7000);
+    this->first->placing.start();
+    BOOST_REQUIRE(this->runUntil([this] { return this->first->placing.isPlacing(); }));
+    this->submit(*this->first, this->job("j", 2));
+    BOOST_REQUIRE(this->runUntil([this] { return this->workers.starts == 2U; }));
+    this->runFor(Milliseconds(1500));
+    this->first->link.loseRenewals = 6;
+    BOOST_TEST(this->runUntil([this] { return this->isCompleted("j"); }, Milliseconds(12'000)));
+    BOOST_TEST(this->workers.lapses == 0U);
+    BOOST_TEST(this->workers.starts == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(whatASilentWorkerRanStartsElsewhereOnceItsLeaseIsOver)
 {
     this->workers.taskLength = Milliseconds(1000);
--- a/modules/coordinator/tests/FakeWorkers.h
+++ b/modules/coordinator/tests/FakeWorkers.h
@@ -40,6 +40,8 @@
     std::vector<TaskName> doubled;
     std::set<TaskName> notedDone;
     std::size_t starts = 0;
+    /// Attempts that ended because their lease was over.
+    std::size_t lapses = 0;
 
     static std::int64_t clockMs()
     {
@@ -57,6 +59,7 @@
                 ++entry;
                 continue;
             }
+            this->lapses += isDone ? 0 : 1;
             worker.ended.push_back({ worker.nextEnd++, entry->first, entry->second.run,
                 isDone ? EndKind::Done : EndKind::LeaseLapsed, {} });
             if (isDone)
@@ -87,11 +90,16 @@
 
     /// Workers that this daemon cannot reach.
     std::set<WorkerId> unreachable;
+    /// The next so many start orders, and renewals, are lost on their way.
+    int loseStarts = 0;
+    int loseRenewals = 0;
 
     void start(const WorkerEndpoint& endpoint, const StartAttempt& order, StartCallback callback)
     {
         StartOutcome outcome = StartOutcome::NoAnswer;
-        if (!this->unreachable.contains(endpoint.id))
+        if (this->loseStarts > 0)
+            this->loseStarts -= 1;
+        else if (!this->unreachable.contains(endpoint.id))
             outcome = this->apply(endpoint.id, order);
         after(this->base, Milliseconds(2), [callback = std::move(callback), outcome] { callback(outcome); });
     }
@@ -119,9 +127,10 @@
 
     void renew(const WorkerEndpoint& endpoint, const RenewLease& order, ReportCallback callback)
     {
-        if (this->unreachable.contains(endpoint.id)) {
-            after(
-                this->base, Milliseconds(50), [callback = std::move(callback)] { callback(WorkerFailure::NoAnswer); });
+        if (this->unreachable.contains(endpoint.id) || this->loseRenewals > 0) {
+            this->loseRenewals -= this->loseRenewals > 0 ? 1 : 0;
+            after(this->base, order.wait + Milliseconds(50),
+                [callback = std::move(callback)] { callback(WorkerFailure::NoAnswer); });
             return;
         }
         auto& worker = this->workers.workers[endpoint.id];
--- a/modules/coordinator/tests/MemoryStore.h
+++ b/modules/coordinator/tests/MemoryStore.h
@@ -35,6 +35,8 @@
     bool isSilent = false;
     /// Calls are refused at once.
     bool isRefusing = false;
+    /// Listings are answered this much later than they are made.
+    Milliseconds listDelay { 1 };
     /// The next so many commits are done, and their answers are lost.
     int loseCommits = 0;
 
@@ -48,15 +50,16 @@
 
     void list(const std::string& prefix, KvListCallback callback)
     {
-        this->answer<KvListing>(std::move(callback), [this, prefix] {
-            KvListing listing;
-            listing.revision = this->tables.revision;
-            for (const auto& [key, item] : this->tables.items) {
-                if (key.starts_with(prefix))
-                    listing.items.push_back(item);
-            }
-            return listing;
-        });
+        KvListing listing;
+        listing.revision = this->tables.revision;
+        for (const auto& [key, item] : this->tables.items) {
+            if (key.starts_with(prefix))
+                listing.items.push_back(item);
+        }
+        if (this->isSilent || this->isRefusing)
+            this->answer<KvListing>(std::move(callback), [] { return KvListing(); });
+        else
+            this->later(this->listDelay, [callback = std::move(callback), listing] { callback(listing); });
     }
 
     void watch(const std::string& prefix, std::int64_t after, Milliseconds wait, KvListCallback callback)
--- a/modules/core/log/Log.cpp
+++ b/modules/core/log/Log.cpp
@@ -1,10 +1,11 @@
 #include <core/log/Log.h>
 
+#include <core/log/BoundedSink.h>
 #include <core/log/LogLine.h>
 
 #include <memory>
-#include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
+#include <unistd.h>
 
 namespace Greengage {
 
@@ -29,7 +30,7 @@
 
 void startLog(LogLevel level)
 {
-    auto logger = std::make_shared<spdlog::logger>("greengage", std::make_shared<spdlog::sinks::stdout_sink_st>());
+    auto logger = std::make_shared<spdlog::logger>("greengage", std::make_shared<BoundedSink>(STDOUT_FILENO));
     logger->set_pattern("time=%Y-%m-%dT%H:%M:%S.%eZ level=%l %v", spdlog::pattern_time_type::utc);
     logger->set_level(toSpdlog(level));
     logger->flush_on(spdlog::level::debug);
--- a/modules/jobs/board/JobBoard.cpp
+++ b/modules/jobs/board/JobBoard.cpp
@@ -23,6 +23,8 @@
 
 bool JobBoard::addJob(JobRecord record, const JobProgress& progress)
 {
+    if (this->forgotten.contains(record.id))
+        return false;
     auto [entry, added] = this->jobs.try_emplace(record.id);
     if (!added)
         return false;
@@ -83,6 +85,7 @@
     }
     this->jobs.erase(id);
     this->unrecorded.erase(id);
+    this->forgotten.insert(id);
 }
 
 TaskRow* JobBoard::findTask(const TaskName& task)
--- a/modules/jobs/board/JobBoard.h
+++ b/modules/jobs/board/JobBoard.h
@@ -21,6 +21,8 @@
     std::shared_ptr<const JobPolicies> policies = std::make_shared<JobPolicies>();
     /// Jobs whose stored progress is behind, or that have ended and are still stored as open.
     std::set<JobId> unrecorded;
+    /// Jobs that ended and were forgotten. A listing that is answered late may still show them as open.
+    std::set<JobId> forgotten;
     /// What each team has on workers.
     std::unordered_map<TeamId, Demand> usage;
     /// Attempt numbers below this one may have been used by an earlier placing daemon.
@@ -28,7 +30,7 @@
     /// Until then, a worker that has not been reached may still run what an earlier placing daemon started.
     Deadline inheritedLeasesOver;
 
-    /// Adds a job. Returns false if it is there already.
+    /// Adds a job. Returns false if it is there already, or has ended.
     bool addJob(JobRecord, const JobProgress&);
 
     /// Ends a job: nothing of it starts any more, and what runs is stopped.
