--- a/modules/coordinator/placing/Coordinator.h
+++ b/modules/coordinator/placing/Coordinator.h
@@ -747,17 +747,19 @@
 
     std::string beatText() const
     {
-        Json::Value value(Json::objectValue);
-        value["waiting"] = Json::Value(Json::objectValue);
-        if (this->session) {
-            std::map<std::string, std::uint64_t> counts;
+        // Until all jobs are known, what the last beat said is nearer to the truth than a count of the known ones.
+        std::map<QueueId, std::uint64_t> counts(this->waitingByQueue.begin(), this->waitingByQueue.end());
+        if (this->session && this->session->isComplete()) {
+            counts.clear();
             for (const auto& [id, job] : this->session->board.jobs) {
                 if (!job.hasStarted && !job.hasEnded())
-                    counts[job.record.queue.string()] += 1;
+                    counts[job.record.queue] += 1;
             }
-            for (const auto& [queue, count] : counts)
-                value["waiting"][queue] = Json::UInt64(count);
         }
+        Json::Value value(Json::objectValue);
+        value["waiting"] = Json::Value(Json::objectValue);
+        for (const auto& [queue, count] : counts)
+            value["waiting"][queue.string()] = Json::UInt64(count);
         return toCompactJson(value);
     }
 
--- a/modules/coordinator/tests/CoordinatorTests.cpp
+++ b/modules/coordinator/tests/CoordinatorTests.cpp
@@ -257,6 +257,20 @@
     BOOST_TEST(this->workers.starts == 4U);
 }
 
+/// A new holder used to say that nothing waited until it had read the jobs.
+BOOST_AUTO_TEST_CASE(aNewHolderRepeatsWhatTheLastOneSaidOfWaitingJobs)
+{
+    KvCommit earlier;
+    earlier.puts = { { StoreKeys::holder, HolderRecord { DaemonId("first"), IncarnationId("0"), 3 }.encode() },
+        { StoreKeys::beat, "{\"waiting\":{\"quick\":5}}" } };
+    this->first->store.commit(earlier, [](auto) {});
+    this->first->store.listDelay = Milliseconds(50);
+    this->first->placing.start();
+    BOOST_REQUIRE(this->runUntil([this] { return this->first->placing.isPlacing(); }));
+    BOOST_TEST(this->tables.items.at(StoreKeys::beat).value.find("\"quick\":5") != std::string::npos);
+    BOOST_TEST(this->first->placing.waitingJobs(QueueId("quick")) == 5U);
+}
+
 BOOST_AUTO_TEST_CASE(aResigningHolderIsFollowedWithoutWaiting)
 {
     this->first->placing.start();
