Remove the ends of jobs once callers need not ask for them

Cause: read-through of the whole change: the store kept the end of every job for good, though its state has to be known for status_s only. The setting for it was read and unused. Test: theEndOfAJobIsKeptForAWhileAndThenRemoved.

--- a/modules/coordinator/placing/Coordinator.h
+++ b/modules/coordinator/placing/Coordinator.h
@@ -4,6 +4,7 @@
 #include <coordinator/leadership/Leadership.h>
 #include <coordinator/placing/CoordinatorLimits.h>
 #include <coordinator/placing/CrewKeeper.h>
+#include <coordinator/placing/EndedJobCleaner.h>
 #include <coordinator/placing/ProgressWriter.h>
 #include <coordinator/store/PrefixMirror.h>
 #include <coordinator/workers/WorkerLink.h>
@@ -159,12 +160,13 @@
         Session(event_base& base, Store& store, Leadership<Store>& leadership,
             typename PrefixMirror<Store>::Handlers handlers, std::function<void(JobRow&)> stored,
             std::function<void()> recorded, Machines& machines, Deadline ordersFrom,
-            typename FleetDriver<Store, Machines>::Publish publishWave)
+            typename FleetDriver<Store, Machines>::Publish publishWave, const CoordinatorLimits& limits)
             : jobsMirror(base, store, StoreKeys::jobs, jobsWatchWait, std::move(handlers))
             , writer(store, leadership, board, std::move(stored), std::move(recorded))
             , reports(board)
             , placement(board)
             , crew(store, leadership, board)
+            , cleaner(store, leadership, limits.keepEndedFor, BootClock::now())
             , fleet(store, machines, leadership, board, ordersFrom, std::move(publishWave))
         {
         }
@@ -175,6 +177,7 @@
         ReportSystem reports;
         PlacementSystem placement;
         CrewKeeper<Store> crew;
+        EndedJobCleaner<Store> cleaner;
         FleetDriver<Store, Machines> fleet;
         std::unordered_map<WorkerId, Renewal> renewals;
         std::shared_ptr<bool> alive = std::make_shared<bool>(true);
@@ -190,6 +193,7 @@
             this->jobsMirror.close();
             this->writer.close();
             this->crew.close();
+            this->cleaner.close();
             this->fleet.close();
         }
 
@@ -211,7 +215,7 @@
         this->session = std::make_unique<Session>(
             this->base, this->store, this->leadership, std::move(handlers),
             [this](JobRow& job) { this->startPlanned(job); }, [this] { this->hurry(); }, this->machines,
-            Deadline::after(BootClock::now(), this->limits.dutyTerm), this->publishWave);
+            Deadline::after(BootClock::now(), this->limits.dutyTerm), this->publishWave, this->limits);
         JobBoard& board = this->session->board;
         board.policies = this->policies;
         board.lowestRun = 1 + term.epoch * runsPerEpoch;
@@ -260,6 +264,7 @@
             this->probeUnanswered(now);
             this->clearSilentWorkers(now);
             this->session->crew.tick();
+            this->session->cleaner.tick(now);
             if (this->session->isComplete()) {
                 this->inheritPlacements(now);
                 this->session->fleet.tick(this->waves, now);
--- a/modules/coordinator/tests/CoordinatorTests.cpp
+++ b/modules/coordinator/tests/CoordinatorTests.cpp
@@ -18,6 +18,7 @@
 /// One daemon: access to the store and the workers, and a coordinator.
 struct FakeDaemon {
     static constexpr Milliseconds leaseLength { 4000 };
+    static constexpr Milliseconds keepEndedFor { 3000 };
     using Placing = Coordinator<MemoryStore, FakeLink, FakeMachines>;
 
     FakeDaemon(event_base& base, MemoryTables& tables, FakeWorkers& workers, const char* name, const char* incarnation)
@@ -25,7 +26,7 @@
         , link(base, workers)
         , machines(base)
         , placing(base, this->store, this->link, this->machines, DaemonId(name), IncarnationId(incarnation),
-              { leaseLength, Milliseconds(0), Milliseconds(1000) })
+              { leaseLength, Milliseconds(0), keepEndedFor })
         , desk(this->store)
     {
         auto policies = std::make_shared<JobPolicies>();
@@ -344,6 +345,17 @@
     BOOST_TEST(this->workers.doubled.empty());
 }
 
+BOOST_AUTO_TEST_CASE(theEndOfAJobIsKeptForAWhileAndThenRemoved)
+{
+    this->first->placing.start();
+    BOOST_REQUIRE(this->runUntil([this] { return this->first->placing.isPlacing(); }));
+    this->submit(*this->first, this->job("j", 1));
+    BOOST_REQUIRE(this->runUntil([this] { return this->isCompleted("j"); }));
+    Instant ended = BootClock::now();
+    BOOST_TEST(this->runUntil([this] { return !this->isCompleted("j"); }, Milliseconds(8000)));
+    BOOST_TEST((BootClock::now() - ended >= FakeDaemon::keepEndedFor - Milliseconds(50)));
+}
+
 BOOST_AUTO_TEST_CASE(aCancelledJobIsStopped)
 {
     this->workers.taskLength = Milliseconds(60'000);
