Note the id of a forgotten job before its row goes

The id handed to forgetJob was the row's own, read after the row had been erased, so the note that keeps ended jobs from coming back was garbled for ids longer than a short string. Test: aForgottenJobDoesNotComeBack, with an id of the usual length, failed in 3 checks before.

--- a/modules/jobs/board/JobBoard.cpp
+++ b/modules/jobs/board/JobBoard.cpp
@@ -1,6 +1,7 @@
 #include <jobs/board/JobBoard.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace Greengage {
 
@@ -63,7 +64,7 @@
     }
 }
 
-void JobBoard::forgetJob(const JobId& id)
+void JobBoard::forgetJob(JobId id)
 {
     auto found = this->jobs.find(id);
     if (found == this->jobs.end())
@@ -85,7 +86,7 @@
     }
     this->jobs.erase(id);
     this->unrecorded.erase(id);
-    this->forgotten.insert(id);
+    this->forgotten.insert(std::move(id));
 }
 
 TaskRow* JobBoard::findTask(const TaskName& task)
--- a/modules/jobs/board/JobBoard.h
+++ b/modules/jobs/board/JobBoard.h
@@ -36,8 +36,9 @@
     /// Ends a job: nothing of it starts any more, and what runs is stopped.
     void endJob(JobRow&, JobState);
 
-    /// Forgets a job that has ended and is stored as ended. What still runs of it becomes a stray of its worker.
-    void forgetJob(const JobId&);
+    /// Forgets a job that has ended and is stored as ended. What still runs of it becomes a stray of its worker. The id
+    /// is taken by value, since it is often that of the row which goes.
+    void forgetJob(JobId);
 
     /// The task's row; null if the job is not here or has no such task.
     TaskRow* findTask(const TaskName&);
--- a/modules/jobs/tests/BoardTests.cpp
+++ b/modules/jobs/tests/BoardTests.cpp
@@ -99,6 +99,19 @@
     BOOST_TEST(this->board.usage[TeamId("bakers")].cpuMillis == 0);
 }
 
+/// The board used to note the id from the row that it had just erased.
+BOOST_AUTO_TEST_CASE(aForgottenJobDoesNotComeBack)
+{
+    const std::string id = "40078c1fbedccf70";
+    JobRow& job = this->addJob(id, { step(1, 1000) });
+    JobRecord again = job.record;
+    this->board.endJob(job, JobState::Completed);
+    this->board.forgetJob(job.record.id);
+    BOOST_TEST(this->board.forgotten.contains(JobId(id)));
+    BOOST_TEST(!this->board.addJob(again, {}));
+    BOOST_TEST(this->board.unrecorded.empty());
+}
+
 BOOST_AUTO_TEST_CASE(progressComesBackAsItWasStored)
 {
     this->addWorker("w1");
