--- a/modules/store/http/HttpClient.cpp
+++ b/modules/store/http/HttpClient.cpp
@@ -12,8 +12,8 @@
 
 namespace {
 
-/// Idle connections kept to one address.
-constexpr std::size_t maxIdlePerAddress = 16;
+/// Idle connections kept to one address: as many as an endpoint accepts.
+constexpr std::size_t maxIdlePerAddress = 64;
 
 } // namespace
 
