Leave no daemon without units of a limit while others hold twice their part

Cause: three things together. An overloaded daemon wants more units than it holds, so the branch that hands units back was never reached; it refilled each unit as it came free; and a daemon that lost the race for the allotment value backed off for 200 ms to 2 s, as after an outage, and lost again.

Change: while a live peer waits with less than half of an equal part, daemons above their fair part start nothing beyond it and hand the rest back; a lost race is tried again after the write interval.

The new lostRaceForTheBookIsTriedAgainSoon fails without the change (5 of its checks).

--- a/modules/fleet/requests/dispatch/Dispatch.cpp
+++ b/modules/fleet/requests/dispatch/Dispatch.cpp
@@ -18,6 +18,9 @@
 /// of the time left in percent, but at least so many times the median run time.
 constexpr int firstAttemptPercent = 60;
 constexpr int firstAttemptMedians = 4;
+/// Slots of each daemon at a service that the team which runs most of the work there leaves to the others. One lets
+/// their next request start at once.
+constexpr int keptSlots = 1;
 
 } // namespace
 
@@ -69,6 +72,11 @@
     return LimitEscrow(this->tick).allowsStart(row.team);
 }
 
+bool Dispatch::leavesTheLastSlot(const RequestRow& row)
+{
+    return this->usage.dominates(ServiceTeam { row.service, row.team }) && this->slots.freeAt(row.service) <= keptSlots;
+}
+
 bool Dispatch::goesBefore(const RequestRow& row, const RequestRow& other) const
 {
     if (this->tick.tables.policy.order == ServingOrder::FirstCome)
@@ -93,6 +101,8 @@
         RequestRow* row = this->frontOf(line);
         EndpointRow* endpoint
             = row && this->isPermitted(*row) ? EndpointSelection(this->tick).choose(*row, this->slots) : nullptr;
+        if (endpoint && this->leavesTheLastSlot(*row))
+            endpoint = nullptr;
         if (!endpoint) {
             this->blocked.insert(&line);
             continue;
--- a/modules/fleet/requests/dispatch/Dispatch.h
+++ b/modules/fleet/requests/dispatch/Dispatch.h
@@ -32,6 +32,8 @@
     bool comesTooLate(const RequestRow&) const;
     /// Whether freshness and the team's limit allow the request to start now.
     bool isPermitted(const RequestRow&) const;
+    /// Whether this daemon's last slot at the service is kept for the other teams.
+    bool leavesTheLastSlot(const RequestRow&);
     bool goesBefore(const RequestRow&, const RequestRow& other) const;
     void begin(WorkLine&, RequestRow&, EndpointRow&);
     void send(RequestRow&, const EndpointRow&);
--- a/modules/fleet/requests/limits/AllotmentPlan.cpp
+++ b/modules/fleet/requests/limits/AllotmentPlan.cpp
@@ -3,8 +3,10 @@
 #include <algorithm>
 #include <fleet/requests/limits/EscrowState.h>
 #include <fleet/requests/limits/TeamDemandView.h>
+#include <fleet/requests/sharing/DaemonDemand.h>
 #include <fleet/requests/sharing/ProportionalDivision.h>
 #include <fleet/requests/tables/RequestTables.h>
+#include <limits>
 #include <numeric>
 
 namespace Greengage {
@@ -50,17 +52,19 @@
     view.running = tables.usageOf(team.name).running;
     view.waiting = tables.usageOf(team.name).waiting;
     int reach = view.free + view.held;
+    auto daemons = this->demand.ofTeam(team.name);
+    view.equalPart = team.limit / this->countMembers(daemons.size());
     std::vector<double> demands;
     auto own = this->demand.ownPlace();
-    for (const auto& daemon : this->demand.ofTeam(team.name)) {
+    for (const auto& daemon : daemons) {
         bool isPeer = daemon.incarnation != tables.self.incarnation;
         view.peersWaiting += isPeer ? daemon.waiting : 0;
+        view.peerStarves = view.peerStarves || (isPeer && this->starves(daemon, view));
         reach += isPeer ? this->state.book.unitsOf(team.name, daemon.incarnation) : 0;
         demands.push_back(daemon.running + daemon.waiting);
     }
     double total = std::accumulate(demands.begin(), demands.end(), 0.0);
     view.isShort = total > reach;
-    view.equalPart = team.limit / this->countMembers(demands.size());
     view.fairPart = view.isShort ? divideByWeight(reach, demands)[own] : reach;
     return view;
 }
@@ -72,9 +76,21 @@
     return static_cast<int>(std::max<std::size_t>(live, 1 + static_cast<std::size_t>(listed)));
 }
 
+bool AllotmentPlan::starves(const DaemonDemand& daemon, const TeamDemandView& view) const
+{
+    return daemon.waiting > 0 && 2 * this->state.book.unitsOf(view.team, daemon.incarnation) < view.equalPart;
+}
+
+void AllotmentPlan::capStarts(const TeamDemandView& view) const
+{
+    bool isCapped = view.isShort && view.peerStarves;
+    this->state.teams[view.team].startCap = isCapped ? view.fairPart : std::numeric_limits<int>::max();
+}
+
 int AllotmentPlan::plan(const Team& team) const
 {
     auto view = this->viewOf(team);
+    this->capStarts(view);
     if (view.free < 0 || this->tick.tables.shuttingDown)
         return std::min(view.held, view.running + (this->tick.tables.shuttingDown ? view.waiting : 0));
     if (view.waiting > 0 || view.peersWaiting > 0)
@@ -85,6 +101,9 @@
 int AllotmentPlan::unitsWhenShort(const TeamDemandView& view) const
 {
     int wanted = view.running + view.waiting;
+    int afterCap = std::max(view.running, view.fairPart);
+    if (view.isShort && view.peerStarves && view.held > afterCap)
+        return afterCap;
     if (wanted > view.held) {
         int most = view.isShort ? std::max(view.held, view.fairPart) : view.limit;
         return std::max(view.held, std::min({ wanted, most, view.held + view.free }));
@@ -99,10 +118,11 @@
 int AllotmentPlan::unitsWhenQuiet(const TeamDemandView& view) const
 {
     int reserve = (view.equalPart + 1) / 2;
-    auto [entry, isNew] = this->state.teams.try_emplace(view.team);
-    auto& recent = entry->second;
-    if (isNew)
-        recent = TeamEscrow { view.held, Deadline(this->tick.now) };
+    auto& recent = this->state.teams[view.team];
+    if (recent.windowEnd == Deadline::never()) {
+        recent.peak = view.held;
+        recent.windowEnd = Deadline(this->tick.now);
+    }
     recent.peak = std::max(recent.peak, view.running);
     if (!recent.windowEnd.hasPassed(this->tick.now))
         return view.held;
--- a/modules/fleet/requests/limits/AllotmentPlan.h
+++ b/modules/fleet/requests/limits/AllotmentPlan.h
@@ -7,6 +7,7 @@
 
 namespace Greengage {
 
+struct DaemonDemand;
 struct EscrowState;
 struct Team;
 struct TeamDemandView;
@@ -25,6 +26,10 @@
     /// Daemons that are live or listed, this one included.
     int countMembers(std::size_t live) const;
     int plan(const Team&) const;
+    /// Whether the daemon has requests of the team waiting and holds less than half of an equal part.
+    bool starves(const DaemonDemand&, const TeamDemandView&) const;
+    /// Stops the use of units beyond the fair part while a peer starves, so that they come free and can be handed back.
+    void capStarts(const TeamDemandView&) const;
     int unitsWhenShort(const TeamDemandView&) const;
     int unitsWhenQuiet(const TeamDemandView&) const;
 
--- a/modules/fleet/requests/limits/LimitEscrow.cpp
+++ b/modules/fleet/requests/limits/LimitEscrow.cpp
@@ -89,6 +89,11 @@
     this->state.unsettled = this->state.unsettled || failed.mayHaveTakenEffect;
     if (!this->state.unsettled)
         this->state.ceilings.clear();
+    if (!failed.mayHaveTakenEffect && this->state.version > this->state.writeExpects) {
+        // Another daemon was first. Backing off here would leave the value to the daemons that win anyway.
+        this->state.nextWriteAt = Deadline::after(this->tick.now, writeInterval);
+        return;
+    }
     this->state.nextWriteAt = Deadline::after(this->tick.now, retryDelay(this->state.failedWrites));
     this->state.failedWrites += 1;
 }
@@ -119,7 +124,11 @@
         return true;
     if (this->state.book.sumOf(name) > team->limit)
         return false;
-    return this->tick.tables.usageOf(name).running < this->usableUnits(name);
+    int units = this->usableUnits(name);
+    auto recent = this->state.teams.find(name);
+    if (recent != this->state.teams.end())
+        units = std::min(units, recent->second.startCap);
+    return this->tick.tables.usageOf(name).running < units;
 }
 
 void LimitEscrow::run()
--- a/modules/fleet/requests/limits/TeamDemandView.h
+++ b/modules/fleet/requests/limits/TeamDemandView.h
@@ -16,6 +16,8 @@
     /// Requests that wait here, and at all live peers.
     int waiting = 0;
     int peersWaiting = 0;
+    /// Whether requests wait at a live peer that holds less than half of an equal part.
+    bool peerStarves = false;
     /// This daemon's part of the limit by demand.
     int fairPart = 0;
     /// This daemon's part of the limit, rounded down, if all daemons had the same demand.
--- a/modules/fleet/requests/sharing/FleetUsage.cpp
+++ b/modules/fleet/requests/sharing/FleetUsage.cpp
@@ -21,4 +21,15 @@
     return count / (team ? team->share : 1.0);
 }
 
+bool FleetUsage::dominates(const ServiceTeam& key) const
+{
+    int own = 0;
+    int others = 0;
+    for (const auto& [other, count] : this->running) {
+        if (other.service == key.service)
+            (other.team == key.team ? own : others) += count;
+    }
+    return others > 0 && own > others;
+}
+
 } // namespace Greengage
--- a/modules/fleet/requests/sharing/FleetUsage.h
+++ b/modules/fleet/requests/sharing/FleetUsage.h
@@ -19,6 +19,8 @@
     void addStart(const ServiceTeam&);
     /// Running requests of the team at the service, for each unit of its share.
     double loadOf(const ServiceTeam&) const;
+    /// Whether the team runs more than all others at the service together, and others run there too.
+    bool dominates(const ServiceTeam&) const;
 
 private:
     const Tick& tick;
--- a/modules/fleet/requests/sharing/SlotShares.cpp
+++ b/modules/fleet/requests/sharing/SlotShares.cpp
@@ -36,6 +36,16 @@
     return this->shares[service][endpoint];
 }
 
+int SlotShares::freeAt(const ServiceId& service)
+{
+    int free = 0;
+    for (const auto& [id, endpoint] : this->tick.tables.endpoints) {
+        if (endpoint.open && endpoint.service == service)
+            free += std::max(0, this->slotsAt(id, service) - endpoint.running);
+    }
+    return free;
+}
+
 void SlotShares::divideService(const ServiceId& service)
 {
     const auto& tables = this->tick.tables;
--- a/modules/fleet/requests/sharing/SlotShares.h
+++ b/modules/fleet/requests/sharing/SlotShares.h
@@ -22,6 +22,9 @@
     /// How many requests this daemon may hold at the endpoint, which stands in the service.
     int slotsAt(const VmId&, const ServiceId&);
 
+    /// How many more requests this daemon may hold at the service's endpoints together.
+    int freeAt(const ServiceId&);
+
     /// Slots of all daemons together, one count for each demand in the order given.
     static std::vector<int> divide(int slots, const std::vector<int>& demands);
 
--- a/modules/fleet/tests/LimitEscrowTests.cpp
+++ b/modules/fleet/tests/LimitEscrowTests.cpp
@@ -183,6 +183,21 @@
     BOOST_TEST(only<UpdateAllotments>(this->wait(Milliseconds(50))).expectedVersion == 5);
 }
 
+BOOST_FIXTURE_TEST_CASE(lostRaceForTheBookIsTriedAgainSoonHoweverOftenItIsLost, PlaneFixture)
+{
+    this->startServing();
+    this->storeAnswers = false;
+    std::uint64_t version = 2;
+    for (int lost = 0; lost < 6; ++lost, ++version) {
+        this->tick(AllotmentsRead { version, R"({"teams":{"booking":{"i2":9}}})", false });
+        this->tick(this->makeRequest("r" + std::to_string(lost), "quotes", "k1"));
+        auto update = only<UpdateAllotments>(this->wait(Milliseconds(50)));
+        BOOST_TEST(update.expectedVersion == version);
+        this->tick(AllotmentsRead { version + 1, R"({"teams":{"booking":{"i2":8}}})", false });
+        this->tick(AllotmentsWriteFailed { false });
+    }
+}
+
 BOOST_FIXTURE_TEST_CASE(reclaimedAllotmentStartsNothing, PlaneFixture)
 {
     this->startServing();
