Start gangs whole, stop what is left of them, and keep them to one rack

Change: a gang whose members cannot all be sent is not sent, what is left of one is stopped at once; a job has begun when its first order leaves, not when it is planned; a worker's rack is read and tried whole first. Beside it, a demand that fitted nowhere in a round is not tried again in that round, and a job's attempts are found through its tasks instead of through all workers.

Tests: whatIsLeftOfAGangIsStopped, aGangThatFindsNoRoomHasNotBegunAndIsNotStored, aGangKeepsToOneRackIfOneHasTheRoom, aSmallerTaskFitsWhereALargerOneDidNot. They were not run on the code before.

--- a/modules/coordinator/placing/OrderSender.h
+++ b/modules/coordinator/placing/OrderSender.h
@@ -10,6 +10,7 @@
 #include <algorithm>
 #include <functional>
 #include <memory>
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -49,19 +50,21 @@
     void startPlanned(JobRow& job)
     {
         Instant now = BootClock::now();
-        std::vector<StartOrder> orders;
-        if (!job.activeTasks || job.hasEnded())
+        if (job.hasEnded())
             return;
-        for (auto& [id, worker] : this->board.workers) {
-            auto entry = worker.attempts.lower_bound(TaskName { job.record.id });
-            for (; entry != worker.attempts.end() && entry->first.job == job.record.id; ++entry) {
-                if (entry->second.phase == AttemptPhase::Recording)
-                    orders.push_back({ id, entry->first, entry->second.run });
-            }
-        }
+        std::vector<StartOrder> orders;
+        // A gang that cannot start whole does not start at all.
+        std::set<std::pair<std::uint32_t, std::uint32_t>> brokenGangs;
+        this->board.forEachAttempt(job, [&](WorkerRow& worker, const Attempt& attempt) {
+            if (attempt.phase != AttemptPhase::Recording)
+                return;
+            orders.push_back({ worker.facts.id, attempt.task, attempt.run });
+            if (job.record.spec.steps[attempt.task.step].gang && !this->maySend(worker, now))
+                brokenGangs.emplace(attempt.task.occurrence, attempt.task.step);
+        });
         for (const auto& order : orders) {
             WorkerRow& worker = this->board.workers.at(order.worker);
-            if (this->handlers.mayAct(now) && PlacementSystem::takesWork(worker, now))
+            if (this->maySend(worker, now) && !brokenGangs.contains({ order.task.occurrence, order.task.step }))
                 this->start(order, now);
             else
                 this->board.releaseAttempt(worker, order.task);
@@ -85,12 +88,18 @@
     /// A stop that was taken is not repeated for so long; the end is listed within the workers' limit.
     static constexpr Milliseconds stopSettles { 2000 };
 
+    bool maySend(const WorkerRow& worker, Instant now) const
+    {
+        return this->handlers.mayAct(now) && PlacementSystem::takesWork(worker, now);
+    }
+
     void start(const StartOrder& order, Instant now)
     {
         JobBoard& board = this->board;
         WorkerRow& worker = board.workers.at(order.worker);
         Attempt& attempt = worker.attempts.at(order.task);
         attempt.phase = AttemptPhase::Ordered;
+        board.noteStarted(board.jobs.at(order.task.job));
         attempt.orderedAt = now;
         attempt.confirmedAt = now;
         constexpr auto validFor = PlacementSystem::orderValidFor;
--- a/modules/coordinator/placing/ProgressWriter.h
+++ b/modules/coordinator/placing/ProgressWriter.h
@@ -111,25 +111,14 @@
         writes.push_back({ id, true });
     }
 
-    void markRecording(const JobRow& job)
+    void markRecording(JobRow& job)
     {
-        this->forEachAttempt(job, [](Attempt& attempt) {
+        this->board.forEachAttempt(job, [](WorkerRow&, Attempt& attempt) {
             if (attempt.phase == AttemptPhase::Planned)
                 attempt.phase = AttemptPhase::Recording;
         });
     }
 
-    template <typename Visit> void forEachAttempt(const JobRow& job, Visit visit)
-    {
-        if (!job.activeTasks)
-            return;
-        for (auto& [id, worker] : this->board.workers) {
-            auto attempt = worker.attempts.lower_bound(TaskName { job.record.id });
-            for (; attempt != worker.attempts.end() && attempt->first.job == job.record.id; ++attempt)
-                visit(attempt->second);
-        }
-    }
-
     void take(const std::vector<Write>& writes, Instant sentAt, Result<KvCommitResult, KvFailure> result)
     {
         if (!this->leadership.isHolder()) {
--- a/modules/jobs/board/JobBoard.cpp
+++ b/modules/jobs/board/JobBoard.cpp
@@ -48,20 +48,12 @@
         return;
     job.state = state;
     this->markUnrecorded(job);
-    if (!job.activeTasks)
-        return;
-    for (auto& [id, worker] : this->workers) {
-        std::vector<TaskName> unsent;
-        auto entry = worker.attempts.lower_bound(TaskName { job.record.id });
-        for (; entry != worker.attempts.end() && entry->first.job == job.record.id; ++entry) {
-            if (entry->second.mayBeSent())
-                entry->second.phase = AttemptPhase::Stopping;
-            else
-                unsent.push_back(entry->first);
-        }
-        for (const auto& task : unsent)
-            this->releaseAttempt(worker, task);
-    }
+    this->forEachAttempt(job, [this](WorkerRow& worker, Attempt& attempt) {
+        if (attempt.mayBeSent())
+            attempt.phase = AttemptPhase::Stopping;
+        else
+            this->releaseAttempt(worker, TaskName(attempt.task));
+    });
 }
 
 void JobBoard::forgetJob(JobId id)
@@ -154,13 +146,12 @@
     row.run = run;
     this->stepRow(job, task).activeCount += 1;
     job.activeTasks += 1;
-    job.hasStarted = true;
-    if (job.state == JobState::Waiting)
-        job.state = JobState::Running;
     Attempt attempt;
     attempt.task = task;
     attempt.run = run;
     attempt.phase = phase;
+    if (attempt.mayBeSent())
+        this->noteStarted(job);
     attempt.team = job.record.team;
     attempt.charged = step.demand;
     attempt.occupies = step.demand;
@@ -178,6 +169,13 @@
     return worker.attempts[task] = attempt;
 }
 
+void JobBoard::noteStarted(JobRow& job)
+{
+    job.hasStarted = true;
+    if (job.state == JobState::Waiting)
+        job.state = JobState::Running;
+}
+
 void JobBoard::releaseAttempt(WorkerRow& worker, const TaskName& task)
 {
     auto found = worker.attempts.find(task);
--- a/modules/jobs/board/JobBoard.h
+++ b/modules/jobs/board/JobBoard.h
@@ -56,6 +56,9 @@
     /// Binds a waiting task to a worker.
     Attempt& beginAttempt(WorkerRow&, JobRow&, const TaskName&, std::uint32_t run, AttemptPhase, Instant now);
 
+    /// An order to start a task of the job has left, or has left an earlier holder.
+    void noteStarted(JobRow&);
+
     /// Removes an attempt; its task waits again unless it is done.
     void releaseAttempt(WorkerRow&, const TaskName&);
 
@@ -75,7 +78,34 @@
     /// What has to be stored of the job.
     JobProgress progressOf(const JobRow&) const;
 
+    /// Visits the current attempts of a job's tasks, with their workers. The visit may release the attempt.
+    template <typename Visit> void forEachAttempt(JobRow& job, Visit visit)
+    {
+        if (!job.activeTasks)
+            return;
+        TaskName name { job.record.id };
+        for (name.occurrence = 0; name.occurrence < job.occurrences.size(); ++name.occurrence) {
+            auto& steps = job.occurrences[name.occurrence].steps;
+            for (name.step = 0; name.step < steps.size(); ++name.step) {
+                if (steps[name.step].activeCount)
+                    this->forEachAttemptOf(steps[name.step], name, visit);
+            }
+        }
+    }
+
 private:
+    template <typename Visit> void forEachAttemptOf(StepRow& step, TaskName name, Visit& visit)
+    {
+        for (name.index = 0; name.index < step.tasks.size(); ++name.index) {
+            const TaskRow& task = step.tasks[name.index];
+            WorkerRow* worker = task.phase == TaskPhase::Active ? this->findWorker(task.worker) : nullptr;
+            if (!worker)
+                continue;
+            if (auto found = worker->attempts.find(name); found != worker->attempts.end())
+                visit(*worker, found->second);
+        }
+    }
+
     StepRow& stepRow(JobRow&, const TaskName&);
 };
 
--- a/modules/jobs/model/WorkerFacts.h
+++ b/modules/jobs/model/WorkerFacts.h
@@ -18,6 +18,8 @@
     ZoneId zone;
     Demand capacity;
     std::vector<std::string> labels;
+    /// Empty if the worker does not say.
+    std::string rack;
     /// Distinguishes the lives of a worker: the time of its start in Unix milliseconds, 0 if it does not say.
     std::int64_t bornUnixMs = 0;
     bool draining = false;
--- a/modules/jobs/systems/PlacementSystem.cpp
+++ b/modules/jobs/systems/PlacementSystem.cpp
@@ -4,6 +4,7 @@
 #include <jobs/systems/JobObjective.h>
 
 #include <algorithm>
+#include <map>
 #include <tuple>
 #include <utility>
 
@@ -17,6 +18,15 @@
     return std::find(labels.begin(), labels.end(), label) != labels.end();
 }
 
+/// What a task of the step takes of a worker's room.
+Demand roomFor(const StepSpec& step)
+{
+    Demand needed = step.demand;
+    if (step.fills)
+        needed.cpuMillis = 0;
+    return needed;
+}
+
 std::uint32_t siblingsOn(const WorkerRow& worker, const TaskName& task)
 {
     std::uint32_t count = 0;
@@ -58,10 +68,10 @@
 std::vector<StartOrder> PlacementSystem::place(Instant now, std::int64_t nowUnixMs)
 {
     this->orders.clear();
-    std::unordered_map<PoolId, Workers> pools;
+    std::unordered_map<PoolId, Pool> pools;
     for (auto& [id, worker] : this->board.workers) {
         if (takesWork(worker, now))
-            pools[worker.facts.pool].push_back(&worker);
+            pools[worker.facts.pool].workers.push_back(&worker);
     }
     auto candidates = this->collect(nowUnixMs);
     std::sort(candidates.begin(), candidates.end(), [](const Candidate& left, const Candidate& right) {
@@ -70,9 +80,9 @@
     });
     for (const auto& candidate : candidates) {
         const auto& queue = this->board.policies->queues.at(candidate.job->record.queue);
-        auto workers = pools.find(queue.pool);
-        if (workers != pools.end())
-            this->placeJob(*candidate.job, workers->second, now, nowUnixMs);
+        auto pool = pools.find(queue.pool);
+        if (pool != pools.end())
+            this->placeJob(*candidate.job, pool->second, now, nowUnixMs);
     }
     return std::exchange(this->orders, {});
 }
@@ -108,7 +118,7 @@
     return candidates;
 }
 
-void PlacementSystem::placeJob(JobRow& job, const Workers& workers, Instant now, std::int64_t nowUnixMs)
+void PlacementSystem::placeJob(JobRow& job, Pool& pool, Instant now, std::int64_t nowUnixMs)
 {
     for (std::uint32_t occurrence = 0; occurrence < job.occurrences.size(); ++occurrence) {
         auto& row = job.occurrences[occurrence];
@@ -116,15 +126,14 @@
             if (!row.steps[step].waitingCount() || !this->board.isReady(job, row, step, nowUnixMs))
                 continue;
             if (job.record.spec.steps[step].gang)
-                this->placeGang(job, occurrence, step, workers, now);
+                this->placeGang(job, occurrence, step, pool.workers, now);
             else
-                this->placeStep(job, occurrence, step, workers, now);
+                this->placeStep(job, occurrence, step, pool, now);
         }
     }
 }
 
-void PlacementSystem::placeStep(
-    JobRow& job, std::uint32_t occurrence, std::uint32_t step, const Workers& workers, Instant now)
+void PlacementSystem::placeStep(JobRow& job, std::uint32_t occurrence, std::uint32_t step, Pool& pool, Instant now)
 {
     const StepSpec& spec = job.record.spec.steps[step];
     auto& tasks = job.occurrences[occurrence].steps[step].tasks;
@@ -134,10 +143,11 @@
         if (!this->isWithinMaximum(job, spec.demand))
             return;
         TaskName name { job.record.id, occurrence, step, index };
-        WorkerRow* worker = this->choose(spec, name, workers, tasks[index].failedOn);
+        WorkerRow* worker = this->chooseInPool(spec, name, pool, tasks[index].failedOn);
         if (!worker)
             return;
         this->begin(job, name, *worker, std::max(this->board.lowestRun, tasks[index].run + 1), now);
+        this->board.markUnrecorded(job);
     }
 }
 
@@ -146,8 +156,27 @@
 {
     const StepSpec& spec = job.record.spec.steps[step];
     auto& row = job.occurrences[occurrence].steps[step];
-    if (row.waitingCount() != row.tasks.size())
+    if (row.waitingCount() != row.tasks.size()) {
+        this->stopMembers(row, TaskName { job.record.id, occurrence, step });
         return;
+    }
+    if (spec.sameRack) {
+        std::map<std::string, Workers> racks;
+        for (auto* worker : workers)
+            racks[worker->facts.rack].push_back(worker);
+        bool isPlaced = std::any_of(racks.begin(), racks.end(),
+            [&](const auto& rack) { return this->placeMembers(job, occurrence, step, rack.second, now); });
+        if (isPlaced)
+            return;
+    }
+    this->placeMembers(job, occurrence, step, workers, now);
+}
+
+bool PlacementSystem::placeMembers(
+    JobRow& job, std::uint32_t occurrence, std::uint32_t step, const Workers& workers, Instant now)
+{
+    const StepSpec& spec = job.record.spec.steps[step];
+    auto& row = job.occurrences[occurrence].steps[step];
     std::uint32_t run = this->board.lowestRun;
     std::string checkpoint;
     for (const auto& task : row.tasks) {
@@ -167,19 +196,48 @@
                 this->board.releaseAttempt(
                     this->board.workers.at(this->orders[order].worker), this->orders[order].task);
             this->orders.resize(firstOrder);
-            return;
+            return false;
         }
         row.tasks[index].checkpoint = checkpoint;
         this->begin(job, name, *worker, run, now);
     }
+    this->board.markUnrecorded(job);
+    return true;
+}
+
+void PlacementSystem::stopMembers(const StepRow& row, TaskName member)
+{
+    for (member.index = 0; member.index < row.tasks.size(); ++member.index) {
+        const TaskRow& task = row.tasks[member.index];
+        WorkerRow* worker = task.phase == TaskPhase::Active ? this->board.findWorker(task.worker) : nullptr;
+        auto found = worker ? worker->attempts.find(member) : std::map<TaskName, Attempt>::iterator();
+        if (!worker || found == worker->attempts.end())
+            continue;
+        if (found->second.mayBeSent())
+            found->second.phase = AttemptPhase::Stopping;
+        else if (found->second.phase == AttemptPhase::Planned)
+            this->board.releaseAttempt(*worker, member);
+    }
+}
+
+WorkerRow* PlacementSystem::chooseInPool(
+    const StepSpec& step, const TaskName& task, Pool& pool, const WorkerId& failedOn) const
+{
+    Demand needed = roomFor(step);
+    bool isTooMuch = std::any_of(
+        pool.tooMuch.begin(), pool.tooMuch.end(), [&needed](const Demand& tooMuch) { return tooMuch.fitsIn(needed); });
+    if (isTooMuch)
+        return nullptr;
+    WorkerRow* worker = this->choose(step, task, pool.workers, failedOn);
+    if (!worker && step.requiredLabel.empty() && !step.perWorkerLimit)
+        pool.tooMuch.push_back(needed);
+    return worker;
 }
 
 WorkerRow* PlacementSystem::choose(
     const StepSpec& step, const TaskName& task, const Workers& workers, const WorkerId& failedOn) const
 {
-    Demand needed = step.demand;
-    if (step.fills)
-        needed.cpuMillis = 0;
+    Demand needed = roomFor(step);
     WorkerRow* best = nullptr;
     std::tuple<bool, bool, bool, std::uint32_t, std::int64_t> bestRank;
     for (WorkerRow* worker : workers) {
@@ -220,7 +278,6 @@
 {
     Attempt& attempt = this->board.beginAttempt(worker, job, task, run, AttemptPhase::Planned, now);
     attempt.checkpoint = this->board.findTask(task)->checkpoint;
-    this->board.markUnrecorded(job);
     this->orders.push_back({ worker.facts.id, task, run });
 }
 
--- a/modules/jobs/systems/PlacementSystem.h
+++ b/modules/jobs/systems/PlacementSystem.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <core/time/Instant.h>
+#include <jobs/model/Demand.h>
 #include <jobs/systems/StartOrder.h>
 
 #include <cstdint>
@@ -9,9 +10,9 @@
 namespace Greengage {
 
 class JobBoard;
-struct Demand;
 struct JobRow;
 struct OccurrenceRow;
+struct StepRow;
 struct StepSpec;
 struct WorkerRow;
 
@@ -39,10 +40,23 @@
     struct Candidate;
     using Workers = std::vector<WorkerRow*>;
 
+    /// Workers that can be given tasks of one pool, and what was found in this round to fit on none of them.
+    struct Pool {
+        Workers workers;
+        std::vector<Demand> tooMuch;
+    };
+
     std::vector<Candidate> collect(std::int64_t nowUnixMs) const;
-    void placeJob(JobRow&, const Workers&, Instant now, std::int64_t nowUnixMs);
-    void placeStep(JobRow&, std::uint32_t occurrence, std::uint32_t step, const Workers&, Instant now);
+    void placeJob(JobRow&, Pool&, Instant now, std::int64_t nowUnixMs);
+    void placeStep(JobRow&, std::uint32_t occurrence, std::uint32_t step, Pool&, Instant now);
     void placeGang(JobRow&, std::uint32_t occurrence, std::uint32_t step, const Workers&, Instant now);
+    /// Plans all tasks of the step on these workers, or none. Returns whether it did.
+    bool placeMembers(JobRow&, std::uint32_t occurrence, std::uint32_t step, const Workers&, Instant now);
+    /// Stops what is left of a gang that has lost members, since the others would only wait for them.
+    void stopMembers(const StepRow&, TaskName);
+    /// Chooses among all of the pool's workers. Room only shrinks within a round, so what did not fit is not tried
+    /// again.
+    WorkerRow* chooseInPool(const StepSpec&, const TaskName&, Pool&, const WorkerId& failedOn) const;
     WorkerRow* choose(const StepSpec&, const TaskName&, const Workers&, const WorkerId& failedOn) const;
     bool isWithinMaximum(const JobRow&, const Demand&) const;
     void begin(JobRow&, const TaskName&, WorkerRow&, std::uint32_t run, Instant now);
--- a/modules/jobs/tests/BoardFixture.h
+++ b/modules/jobs/tests/BoardFixture.h
@@ -47,6 +47,7 @@
         worker.facts.pool = PoolId(pool);
         worker.facts.capacity = { cpuMillis, 64'000, 0 };
         worker.facts.labels = { "a", "rack-1" };
+        worker.facts.rack = "rack-1";
         worker.isReached = true;
         worker.isRecorded = true;
         worker.lastReport = this->now;
@@ -85,6 +86,7 @@
         for (const auto& order : orders) {
             Attempt& attempt = this->board.workers.at(order.worker).attempts.at(order.task);
             attempt.phase = AttemptPhase::Running;
+            this->board.noteStarted(this->board.jobs.at(order.task.job));
             attempt.isAnswered = true;
             attempt.isAtWork = true;
             attempt.confirmedAt = this->now;
--- a/modules/jobs/tests/PlacingTests.cpp
+++ b/modules/jobs/tests/PlacingTests.cpp
@@ -78,6 +78,19 @@
     BOOST_TEST(this->place().empty());
 }
 
+BOOST_AUTO_TEST_CASE(aSmallerTaskFitsWhereALargerOneDidNot)
+{
+    this->addWorker("w1", "north", 1500);
+    this->addJob("a-large", { step(3, 2000) });
+    this->addJob("b-small", { step(1, 1000) });
+    this->addJob("c-larger", { step(1, 3000) });
+    this->addJob("d-tiny", { step(1, 400) });
+    auto orders = this->place();
+    BOOST_REQUIRE(orders.size() == 2U);
+    BOOST_TEST((orders[0].task.job == JobId("b-small")));
+    BOOST_TEST((orders[1].task.job == JobId("d-tiny")));
+}
+
 BOOST_AUTO_TEST_CASE(aGangStartsWholeOrNotAtAll)
 {
     WorkerRow& worker = this->addWorker("w1", "north", 2000);
@@ -93,6 +106,59 @@
         BOOST_TEST(order.run == orders.front().run);
 }
 
+BOOST_AUTO_TEST_CASE(aGangThatFindsNoRoomHasNotBegunAndIsNotStored)
+{
+    this->addWorker("w1", "north", 2000);
+    StepSpec gang = step(3, 1000);
+    gang.gang = true;
+    JobRow& job = this->addJob("j", { gang });
+    this->place();
+    BOOST_TEST(!job.hasStarted);
+    BOOST_TEST((job.state == JobState::Waiting));
+    BOOST_TEST(this->board.unrecorded.empty());
+}
+
+/// A member that could not be started leaves the others waiting for it until they give up.
+BOOST_AUTO_TEST_CASE(whatIsLeftOfAGangIsStopped)
+{
+    WorkerRow& worker = this->addWorker("w1");
+    StepSpec gang = step(3, 1000);
+    gang.gang = true;
+    JobRow& job = this->addJob("j", { gang });
+    this->placeAndRun();
+    this->board.releaseAttempt(worker, task("j", 0, 1));
+    BOOST_TEST(this->place().empty());
+    for (const auto& [name, attempt] : worker.attempts)
+        BOOST_TEST((attempt.phase == AttemptPhase::Stopping));
+    std::uint32_t run = worker.attempts.begin()->second.run;
+    this->end(task("j", 0, 0), EndKind::Stopped);
+    this->end(task("j", 0, 2), EndKind::Stopped);
+    auto again = this->place();
+    BOOST_REQUIRE(again.size() == 3U);
+    BOOST_TEST(again.front().run > run);
+    BOOST_TEST((job.state == JobState::Running));
+}
+
+BOOST_AUTO_TEST_CASE(aGangKeepsToOneRackIfOneHasTheRoom)
+{
+    auto addTo = [this](const char* id, const char* rack) { this->addWorker(id, "north", 2000).facts.rack = rack; };
+    addTo("w1", "rack-1");
+    addTo("w2", "rack-2");
+    addTo("w3", "rack-2");
+    StepSpec gang = step(4, 1000);
+    gang.gang = true;
+    gang.sameRack = true;
+    this->addJob("j", { gang });
+    auto orders = this->place();
+    BOOST_REQUIRE(orders.size() == 4U);
+    for (const auto& order : orders)
+        BOOST_TEST((order.worker != WorkerId("w1")));
+    this->addJob("wider", { gang });
+    BOOST_TEST(this->place().empty());
+    addTo("w4", "rack-3");
+    BOOST_TEST(this->place().size() == 4U);
+}
+
 BOOST_AUTO_TEST_CASE(oneEndOfAGangFinishesAllOfIt)
 {
     this->addWorker("w1");
