Let larger daemons place tasks, and let rounds of decisions rest

Ruled out: too few store calls (no refusals); leases too short (losses came in a run of no answers, each to a worker that was sound).

Change: each daemon stores what processor time it has; smaller ones give larger ones 600 ms to take a free part, and a smaller holder hands over to a larger daemon that offers itself. A round of decisions is followed by a rest of three times its length.

--- a/modules/coordinator/leadership/Leadership.h
+++ b/modules/coordinator/leadership/Leadership.h
@@ -5,7 +5,10 @@
 #include <coordinator/store/PrefixMirror.h>
 #include <core/time/Deadline.h>
 
+#include <algorithm>
+#include <charconv>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -23,7 +26,9 @@
 
 /// Settles, through the shared store, which daemon places tasks. The holder's key is taken by compare-and-swap and its
 /// revision is the fencing token. A holder acts only for a bounded time after the store last confirmed that it holds
-/// the key; others take the key when the holder has not rewritten its beat for a while.
+/// the key; others take the key when the holder has not rewritten its beat for a while. Placing is the heaviest part
+/// that a daemon can have, so smaller daemons let larger ones go first, and a smaller holder hands over to a larger one
+/// that offers itself.
 template <SharedStore Store> class Leadership {
 public:
     struct Handlers {
@@ -44,12 +49,19 @@
     /// A holder that has not rewritten its beat for so long is taken for gone. Three missed beats.
     static constexpr Milliseconds silenceLimit { 1300 };
     static constexpr Milliseconds checkPeriod { 100 };
+    /// How long a daemon waits for larger ones to take a free part; longer than the watches by which they learn of it.
+    static constexpr Milliseconds largerFirst { 600 };
+    /// A daemon offers itself only once it has been in touch with the store for so long.
+    static constexpr Milliseconds steadyFor { 2000 };
     /// No longer than the time between beats: whether the holder is silent is decided when a watch is answered.
     static constexpr Milliseconds watchWait { 400 };
 
-    Leadership(event_base& base, Store& store, DaemonId daemon, IncarnationId incarnation, Handlers handlers)
+    /// `cpuMillis` is what this daemon has, in thousandths of a core.
+    Leadership(event_base& base, Store& store, DaemonId daemon, IncarnationId incarnation, std::int64_t cpuMillis,
+        Handlers handlers)
         : store(store)
         , self { std::move(daemon), std::move(incarnation), 0 }
+        , cpuMillis(cpuMillis)
         , handlers(std::move(handlers))
         , mirror(base, store, StoreKeys::leadership, watchWait,
               { [this](const KvListing& listing) { this->takeListing(listing); },
@@ -100,22 +112,28 @@
     void resign()
     {
         this->isResigning = true;
-        if (!this->term)
-            return;
+        if (this->term)
+            this->handBack("shutting down");
+    }
+
+private:
+    void handBack(std::string_view reason)
+    {
         HolderRecord vacant { DaemonId(), this->self.incarnation, this->term->epoch };
         KvCommit commit { { this->condition() }, { { StoreKeys::holder, vacant.encode() } }, {} };
-        this->stepDown("shutting down");
+        this->addOfferRemoval(commit);
+        this->stepDown(reason);
         this->store.commit(commit, [](auto result) {
             if (!result.has_value())
                 writeLog(LogLevel::Warning, LogLine("resignation_failed").add("reason", nameOf(result.error())));
         });
     }
 
-private:
     void takeListing(const KvListing& listing)
     {
         this->holder.reset();
         this->holderRevision = 0;
+        this->offeredBy = DaemonId();
         this->takeChanges(listing);
     }
 
@@ -129,8 +147,76 @@
                 this->takeHolder(item);
             else if (item.key == StoreKeys::beat && !item.isRemoved && item.revision > this->beatRevision)
                 this->takeBeat(item, now);
+            else if (item.key == StoreKeys::offer)
+                this->offeredBy = item.isRemoved ? DaemonId() : DaemonId(item.value);
+            else if (item.key.starts_with(StoreKeys::sizes))
+                this->takeSize(item);
         }
+        this->publishSize();
+        this->considerHandingOver();
         this->considerTaking(now);
+        this->considerOffering(now);
+    }
+
+    void takeSize(const KvItem& item)
+    {
+        DaemonId daemon(item.key.substr(std::string_view(StoreKeys::sizes).size()));
+        std::int64_t size = 0;
+        std::from_chars(item.value.data(), item.value.data() + item.value.size(), size);
+        if (item.isRemoved || size <= 0)
+            this->sizes.erase(daemon);
+        else
+            this->sizes[daemon] = size;
+    }
+
+    /// The size that a daemon has told of; zero if it has not.
+    std::int64_t sizeOf(const DaemonId& daemon) const
+    {
+        auto found = this->sizes.find(daemon);
+        return found == this->sizes.end() ? 0 : found->second;
+    }
+
+    bool isLargest() const
+    {
+        return std::all_of(this->sizes.begin(), this->sizes.end(),
+            [this](const auto& entry) { return entry.second <= this->cpuMillis; });
+    }
+
+    void publishSize()
+    {
+        if (this->isPublishing || this->sizeOf(this->self.daemon) == this->cpuMillis)
+            return;
+        this->isPublishing = true;
+        KvCommit commit { {}, { { StoreKeys::size(this->self.daemon), std::to_string(this->cpuMillis) } }, {} };
+        this->store.commit(commit, [this](auto) { this->isPublishing = false; });
+    }
+
+    /// Hands the part to a larger daemon that has offered itself.
+    void considerHandingOver()
+    {
+        if (this->term && this->sizeOf(this->offeredBy) > this->cpuMillis)
+            this->handBack("a larger daemon has offered itself");
+    }
+
+    /// Offers to take the part over from a smaller holder.
+    void considerOffering(Instant now)
+    {
+        bool isSteady = this->storeBackAt && now - *this->storeBackAt >= steadyFor;
+        if (this->term || this->isOffering || this->isResigning || !isSteady || !this->offeredBy.isEmpty())
+            return;
+        std::int64_t held = this->holder ? this->sizeOf(this->holder->daemon) : 0;
+        if (held == 0 || held >= this->cpuMillis)
+            return;
+        this->isOffering = true;
+        KvCommit commit { { { StoreKeys::holder, this->holderRevision }, { StoreKeys::offer, 0 } },
+            { { StoreKeys::offer, this->self.daemon.string() } }, {} };
+        this->store.commit(commit, [this](auto) { this->isOffering = false; });
+    }
+
+    void addOfferRemoval(KvCommit& commit) const
+    {
+        if (!this->offeredBy.isEmpty())
+            commit.removals.emplace_back(StoreKeys::offer);
     }
 
     void takeHolder(const KvItem& item)
@@ -186,13 +272,23 @@
             return;
         bool isVacant = !this->holder || this->holder->daemon.isEmpty();
         bool wasOurs = this->holder && this->holder->daemon == this->self.daemon;
+        if (!isVacant)
+            this->vacantSince.reset();
         if (isVacant || wasOurs) {
             // The last holder has said that it is gone, or was an earlier process of this daemon.
-            this->take(Milliseconds(0), now);
+            if (!this->vacantSince)
+                this->vacantSince = now;
+            bool goesFirst = wasOurs || this->offeredBy == this->self.daemon;
+            Milliseconds patience = this->isLargest() ? Milliseconds(0) : largerFirst;
+            // Before there was any holder, the daemons may not know of each other yet.
+            if (!this->holder)
+                patience += largerFirst;
+            if (goesFirst || now - *this->vacantSince >= patience)
+                this->take(Milliseconds(0), now);
             return;
         }
         Instant silentSince = std::max(this->beatSeenAt, *this->storeBackAt);
-        if (now - silentSince < silenceLimit)
+        if (now - silentSince < (this->isLargest() ? silenceLimit : silenceLimit + largerFirst))
             return;
         this->isTaking = true;
         // The changes read last may be old if this process was paused, so the beat is read once more.
@@ -217,6 +313,7 @@
         record.epoch = this->holder ? this->holder->epoch + 1 : 0;
         KvCommit commit { { { StoreKeys::holder, this->holderRevision } },
             { { StoreKeys::holder, record.encode() }, { StoreKeys::beat, this->handlers.beatText() } }, {} };
+        this->addOfferRemoval(commit);
         this->store.commit(commit, [this, record, now](auto result) {
             this->isTaking = false;
             if (!result.has_value() || !result.value().isCommitted || this->isResigning)
@@ -242,6 +339,7 @@
 
     Store& store;
     HolderRecord self;
+    std::int64_t cpuMillis;
     Handlers handlers;
     PrefixMirror<Store> mirror;
     Timer timer;
@@ -252,12 +350,20 @@
     Instant beatSeenAt { Instant::min() };
     /// Since when the store has answered without a failure between.
     std::optional<Instant> storeBackAt;
+    /// Since when nobody has held the part, as far as this daemon has seen.
+    std::optional<Instant> vacantSince;
+    /// What the daemons have, in thousandths of a core, whether or not they are alive.
+    std::map<DaemonId, std::int64_t> sizes;
+    /// Who has offered to take the part over; empty if nobody has.
+    DaemonId offeredBy;
     std::optional<Term> term;
     Deadline actUntil;
     Deadline nextBeat;
     Deadline earlierOrdersOver;
     bool isBeating = false;
     bool isTaking = false;
+    bool isPublishing = false;
+    bool isOffering = false;
     bool isResigning = false;
 };
 
--- a/modules/coordinator/placing/Coordinator.h
+++ b/modules/coordinator/placing/Coordinator.h
@@ -37,7 +37,7 @@
         , link(link)
         , machines(machines)
         , limits(limits)
-        , leadership(base, store, std::move(daemon), std::move(incarnation),
+        , leadership(base, store, std::move(daemon), std::move(incarnation), limits.cpuMillis,
               { [this](const Term& term) { this->begin(term); }, [this] { this->end(); },
                   [this] { return this->beatText(); }, [this](const std::string& text) { this->takeBeat(text); } })
         , timer(base, [this] { this->tick(); })
@@ -123,14 +123,17 @@
         return found == this->waitingByQueue.end() ? 0 : found->second;
     }
 
-    /// The tables of the holder; null in other daemons.
-    JobBoard* board() { return this->session ? &this->session->board : nullptr; }
     Leadership<Store>& leadershipState() { return this->leadership; }
 
 private:
     static constexpr Milliseconds tickPeriod { 25 };
     /// Delay from a report to the round of decisions that it causes, so that reports that come together share one.
     static constexpr Milliseconds hurryDelay { 2 };
+    /// A round is followed by a rest of so many times its own length, which leaves three quarters of the processor to
+    /// callers, reports and renewals however large the tables are.
+    static constexpr int restPerRound = 3;
+    /// A process that was paused in a round need not rest for it.
+    static constexpr Milliseconds longestRest { 100 };
     /// Ends are stored in rounds at least this far apart.
     static constexpr Milliseconds flushPeriod { 40 };
     static constexpr Milliseconds jobsWatchWait { 2000 };
@@ -234,12 +237,19 @@
         this->timer.schedule(Microseconds(0));
     }
 
+    /// Asks for a round of decisions soon.
     void hurry()
     {
-        if (this->session && !this->isHurrying) {
-            this->isHurrying = true;
-            this->timer.schedule(hurryDelay);
-        }
+        if (!this->session || this->isHurrying)
+            return;
+        this->isHurrying = true;
+        if (!this->isDeciding)
+            this->scheduleRound(hurryDelay);
+    }
+
+    void scheduleRound(Microseconds delay)
+    {
+        this->timer.schedule(std::max(delay, this->restUntil.remaining(BootClock::now())));
     }
 
     void tick()
@@ -249,6 +259,18 @@
             return;
         Instant now = BootClock::now();
         this->isHurrying = false;
+        this->isDeciding = true;
+        this->decide(now);
+        this->isDeciding = false;
+        Instant done = BootClock::now();
+        this->restUntil = Deadline::after(done, std::min<Microseconds>(longestRest, (done - now) * restPerRound));
+        if (this->session)
+            this->scheduleRound(this->isHurrying ? hurryDelay : tickPeriod);
+    }
+
+    /// One round of decisions.
+    void decide(Instant now)
+    {
         if (this->leadership.mayAct(now)) {
             this->session->leases.tick(now);
             this->session->crew.tick();
@@ -265,8 +287,6 @@
             this->session->nextFlush = Deadline::after(now, flushPeriod);
             this->session->writer.flush();
         }
-        if (this->session && !this->isHurrying)
-            this->timer.schedule(tickPeriod);
     }
 
     /// Plans what can start. The orders go out once the plan is stored, so that the next holder knows of them.
@@ -344,7 +364,9 @@
     std::unique_ptr<Session> session;
     std::vector<std::unique_ptr<Session>> retired;
     Timer timer;
+    Deadline restUntil;
     bool isHurrying = false;
+    bool isDeciding = false;
 };
 
 } // namespace Greengage
--- a/modules/coordinator/placing/CoordinatorLimits.h
+++ b/modules/coordinator/placing/CoordinatorLimits.h
@@ -2,9 +2,11 @@
 
 #include <core/time/Instant.h>
 
+#include <cstdint>
+
 namespace Greengage {
 
-/// Spans that operators of the site set.
+/// Spans that operators of the site set, and what this daemon has.
 struct CoordinatorLimits {
     /// The longest lease that workers grant.
     Milliseconds leaseLength { 6000 };
@@ -12,6 +14,8 @@
     Milliseconds dutyTerm { 3000 };
     /// How long the state of an ended job stays known.
     Milliseconds keepEndedFor { 120'000 };
+    /// Processor time of this daemon in thousandths of a core. Larger daemons place tasks before smaller ones.
+    std::int64_t cpuMillis = 1000;
 };
 
 } // namespace Greengage
--- a/modules/store/http/HttpCall.h
+++ b/modules/store/http/HttpCall.h
@@ -21,6 +21,9 @@
     std::string body;
     /// Time for the whole exchange, from the call to the last byte of the answer.
     Milliseconds timeout { 2000 };
+    /// Whether the timeout begins anew with each part of the answer that arrives, as a long answer on a narrow link
+    /// needs.
+    bool extendsOnProgress = false;
     /// Whether a new connection must be opened, rather than an idle one reused.
     bool freshConnection = false;
 };
--- a/modules/store/http/HttpClient.h
+++ b/modules/store/http/HttpClient.h
@@ -27,7 +27,8 @@
     HttpClient& operator=(const HttpClient&) = delete;
 
     /// Ends in exactly one call of the callback, never from within `send`, and at the latest when the call's timeout
-    /// has passed. Destroying the client drops the calls under way without calling back.
+    /// has passed (since the last part of the answer, if the call extends it on progress). Destroying the client drops
+    /// the calls under way without calling back.
     void send(HttpCall, Callback);
 
     /// Closes the idle connections, so that later calls open new ones.
--- a/modules/store/http/HttpConnection.cpp
+++ b/modules/store/http/HttpConnection.cpp
@@ -30,12 +30,16 @@
     evhttp_connection_set_max_body_size(this->connection, maxBodyBytes);
     auto* output = bufferevent_get_output(evhttp_connection_get_bufferevent(this->connection));
     this->outputObserver = evbuffer_add_cb(output, outputChanged, this);
+    auto* input = bufferevent_get_input(evhttp_connection_get_bufferevent(this->connection));
+    this->inputObserver = evbuffer_add_cb(input, inputChanged, this);
 }
 
 HttpConnection::~HttpConnection()
 {
     auto* output = bufferevent_get_output(evhttp_connection_get_bufferevent(this->connection));
     evbuffer_remove_cb_entry(output, this->outputObserver);
+    auto* input = bufferevent_get_input(evhttp_connection_get_bufferevent(this->connection));
+    evbuffer_remove_cb_entry(input, this->inputObserver);
     evhttp_connection_free(this->connection);
 }
 
@@ -53,4 +57,11 @@
         static_cast<HttpConnection*>(context)->written = true;
 }
 
+void HttpConnection::inputChanged(evbuffer*, const evbuffer_cb_info* info, void* context)
+{
+    auto& connection = *static_cast<HttpConnection*>(context);
+    if (info->n_added > 0 && connection.arrived)
+        connection.arrived();
+}
+
 } // namespace Greengage
--- a/modules/store/http/HttpExchange.cpp
+++ b/modules/store/http/HttpExchange.cpp
@@ -63,7 +63,14 @@
 {
     auto limit = toTimeval(call.timeout);
     event_add(this->timer, &limit);
-    this->connection->startRequest();
+    std::function<void()> arrived;
+    if (call.extendsOnProgress) {
+        arrived = [this, limit] {
+            if (!this->outcome)
+                event_add(this->timer, &limit);
+        };
+    }
+    this->connection->startRequest(std::move(arrived));
     auto* request = evhttp_request_new(responded, this);
     auto* fields = evhttp_request_get_output_headers(request);
     bool valid = evhttp_add_header(fields, "Host", call.address.c_str()) == 0;
@@ -82,7 +89,10 @@
 
 std::unique_ptr<HttpConnection> HttpExchange::takeReusableConnection()
 {
-    return this->reusable ? std::move(this->connection) : nullptr;
+    if (!this->reusable)
+        return nullptr;
+    this->connection->startRequest({});
+    return std::move(this->connection);
 }
 
 void HttpExchange::responded(evhttp_request* request, void* context)
