Ask the advice service for queues whose tasks need tickets

Until now their starts went out without a ticket and were refused for good.

Placement uses only workers with a ticket for their present life; a refused ticket is asked for again.

Tests: AdviceTests (4), tasksOfAnAdvisedQueueStartWithATicketWhereTheServiceAllows.

--- a/modules/coordinator/placing/Coordinator.h
+++ b/modules/coordinator/placing/Coordinator.h
@@ -2,6 +2,7 @@
 
 #include <coordinator/fleet/FleetDriver.h>
 #include <coordinator/leadership/Leadership.h>
+#include <coordinator/placing/AdviceKeeper.h>
 #include <coordinator/placing/CoordinatorLimits.h>
 #include <coordinator/placing/CrewKeeper.h>
 #include <coordinator/placing/EndedJobCleaner.h>
@@ -28,14 +29,15 @@
 /// Places the tasks of all open jobs while this daemon holds the leadership: renews the workers' leases, takes in what
 /// they report, has it stored, and gives orders. Everything it needs after a change of holder is in the store and in
 /// the workers' reports.
-template <SharedStore Store, WorkerLink Link, MachineService Machines> class Coordinator {
+template <SharedStore Store, WorkerLink Link, MachineService Machines, AdviceService Advice> class Coordinator {
 public:
-    Coordinator(event_base& base, Store& store, Link& link, Machines& machines, DaemonId daemon,
+    Coordinator(event_base& base, Store& store, Link& link, Machines& machines, Advice& advice, DaemonId daemon,
         IncarnationId incarnation, const CoordinatorLimits& limits)
         : base(base)
         , store(store)
         , link(link)
         , machines(machines)
+        , advice(advice)
         , limits(limits)
         , leadership(base, store, std::move(daemon), std::move(incarnation), limits.cpuMillis,
               { [this](const Term& term) { this->begin(term); }, [this] { this->end(); },
@@ -149,6 +151,7 @@
                   owner.store, owner.leadership, board, [this](JobRow& job) { this->orders.startPlanned(job); },
                   [&owner] { owner.hurry(); })
             , placement(board)
+            , advice(owner.advice, board, [&owner] { owner.hurry(); })
             , crew(owner.store, owner.leadership, board)
             , cleaner(owner.store, owner.leadership, owner.limits.keepEndedFor, BootClock::now())
             , fleet(owner.store, owner.machines, owner.leadership, board,
@@ -166,6 +169,7 @@
         PrefixMirror<Store> jobsMirror;
         ProgressWriter<Store> writer;
         PlacementSystem placement;
+        AdviceKeeper<Advice> advice;
         CrewKeeper<Store> crew;
         EndedJobCleaner<Store> cleaner;
         FleetDriver<Store, Machines> fleet;
@@ -178,6 +182,7 @@
         {
             this->jobsMirror.close();
             this->writer.close();
+            this->advice.close();
             this->crew.close();
             this->cleaner.close();
             this->fleet.close();
@@ -279,6 +284,7 @@
                 this->session->intake.inheritPlacements(now);
                 this->session->fleet.tick(this->waves, now);
                 this->placeTasks(now);
+                this->session->advice.tick(now);
                 this->session->orders.orderStops(now);
                 this->logPools(now);
             }
@@ -354,6 +360,7 @@
     Store& store;
     Link& link;
     Machines& machines;
+    Advice& advice;
     CoordinatorLimits limits;
     std::shared_ptr<const JobPolicies> policies = std::make_shared<JobPolicies>();
     std::unordered_map<QueueId, std::uint64_t> waitingByQueue;
--- a/modules/coordinator/placing/OrderSender.h
+++ b/modules/coordinator/placing/OrderSender.h
@@ -111,6 +111,7 @@
         start.validUntilClockMs = this->leases.clockOf(worker, now) + PlacementSystem::orderValidFor.count();
         start.fencingToken = this->token;
         start.checkpoint = attempt.checkpoint;
+        start.ticket = attempt.ticket;
         this->leases.extendLease(worker, now, PlacementSystem::orderValidFor);
         writeLog(LogLevel::Info,
             LogLine("task_start")
@@ -161,7 +162,11 @@
             this->handlers.fenced();
             return;
         }
-        if (outcome != StartOutcome::NotSent && outcome != StartOutcome::Outdated)
+        bool isRefusalOfTheWorker = outcome != StartOutcome::NotSent && outcome != StartOutcome::Outdated
+            && outcome != StartOutcome::NoTicket;
+        if (outcome == StartOutcome::NoTicket)
+            board.dropTicket(order.task, order.worker);
+        if (isRefusalOfTheWorker)
             worker->setAsideUntil = std::max(worker->setAsideUntil, Deadline::after(now, refusalPause));
         if (outcome == StartOutcome::NotSent)
             worker->isSuspect = true;
--- a/modules/coordinator/tests/CoordinatorTests.cpp
+++ b/modules/coordinator/tests/CoordinatorTests.cpp
@@ -1,5 +1,6 @@
 #include <coordinator/desk/JobDesk.h>
 #include <coordinator/placing/Coordinator.h>
+#include <coordinator/tests/FakeAdvice.h>
 #include <coordinator/tests/FakeWorkers.h>
 #include <coordinator/tests/MemoryStore.h>
 #include <core/log/Log.h>
@@ -19,14 +20,15 @@
 struct FakeDaemon {
     static constexpr Milliseconds leaseLength { 4000 };
     static constexpr Milliseconds keepEndedFor { 3000 };
-    using Placing = Coordinator<MemoryStore, FakeLink, FakeMachines>;
+    using Placing = Coordinator<MemoryStore, FakeLink, FakeMachines, FakeAdvice>;
 
     FakeDaemon(event_base& base, MemoryTables& tables, FakeWorkers& workers, const char* name, const char* incarnation)
         : store(base, tables)
         , link(base, workers)
         , machines(base)
-        , placing(base, this->store, this->link, this->machines, DaemonId(name), IncarnationId(incarnation),
-              { leaseLength, Milliseconds(0), keepEndedFor })
+        , advice(base)
+        , placing(base, this->store, this->link, this->machines, this->advice, DaemonId(name),
+              IncarnationId(incarnation), { leaseLength, Milliseconds(0), keepEndedFor })
         , desk(this->store)
     {
         auto policies = std::make_shared<JobPolicies>();
@@ -37,6 +39,9 @@
         queue.pool = PoolId("north");
         queue.maxAttempts = 3;
         policies->queues[queue.id] = queue;
+        queue.id = QueueId("advised");
+        queue.advice = AdvicePolicy { Milliseconds(5), Milliseconds(1), Milliseconds(3000) };
+        policies->queues[queue.id] = queue;
         this->placing.setPolicies(policies);
         this->placing.onDirectoryWanted([this](bool isWanted) {
             if (isWanted)
@@ -60,6 +65,7 @@
     MemoryStore store;
     FakeLink link;
     FakeMachines machines;
+    FakeAdvice advice;
     Placing placing;
     JobDesk<MemoryStore> desk;
 };
@@ -155,6 +161,21 @@
     BOOST_TEST(this->runUntil([this] { return this->workers.notedDone.size() == 4U; }));
 }
 
+BOOST_AUTO_TEST_CASE(tasksOfAnAdvisedQueueStartWithATicketWhereTheServiceAllows)
+{
+    this->first->advice.fit = { WorkerId("w2") };
+    this->first->advice.refuse = 1;
+    this->first->placing.start();
+    JobRecord record = this->job("j", 4);
+    record.queue = QueueId("advised");
+    this->submit(*this->first, record);
+    BOOST_TEST(this->runUntil([this] { return this->isCompleted("j"); }));
+    BOOST_TEST(this->workers.starts == 4U);
+    BOOST_TEST((this->workers.tickets == std::set<std::string> { "ticket for w2" }));
+    // One question was refused and the next one answered; nothing more was left to ask.
+    BOOST_TEST(this->first->advice.questions == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(aSubmissionThatComesAgainStaysOneJob)
 {
     this->first->placing.start();
--- /dev/null
+++ b/modules/coordinator/tests/FakeAdvice.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <coordinator/tests/After.h>
+#include <coordinator/workers/AdviceService.h>
+
+#include <cstddef>
+#include <set>
+
+namespace Greengage {
+
+/// A stand-in of the advice service.
+class FakeAdvice {
+public:
+    explicit FakeAdvice(event_base& base)
+        : base(base)
+    {
+    }
+
+    /// Workers that may run whatever is asked about.
+    std::set<WorkerId> fit;
+    /// The next so many questions are refused.
+    int refuse = 0;
+    std::size_t questions = 0;
+
+    void ask(const AdviceQuestion& question, AdviceCallback callback)
+    {
+        this->questions += 1;
+        if (this->refuse > 0) {
+            this->refuse -= 1;
+            after(this->base, Milliseconds(1), [callback = std::move(callback)] { callback(AdviceFailure::Busy); });
+            return;
+        }
+        AdviceAnswer answer;
+        answer.validFor = Milliseconds(3000);
+        for (const auto& worker : question.workers) {
+            if (this->fit.contains(worker))
+                answer.fit.emplace(worker, "ticket for " + worker.string());
+        }
+        after(this->base, Milliseconds(5), [callback = std::move(callback), answer] { callback(answer); });
+    }
+
+private:
+    event_base& base;
+};
+
+} // namespace Greengage
--- a/modules/coordinator/tests/FakeWorkers.h
+++ b/modules/coordinator/tests/FakeWorkers.h
@@ -40,6 +40,8 @@
     std::vector<TaskName> doubled;
     std::set<TaskName> notedDone;
     std::size_t starts = 0;
+    /// The tickets that starts carried.
+    std::set<std::string> tickets;
     /// Attempts that ended because their lease was over.
     std::size_t lapses = 0;
 
@@ -166,6 +168,7 @@
         if (this->workers.isRunningAnywhere(order.task) || this->workers.notedDone.contains(order.task))
             this->workers.doubled.push_back(order.task);
         this->workers.starts += 1;
+        this->workers.tickets.insert(order.ticket);
         worker.fence = order.fencingToken;
         worker.leaseUntilMs = std::max(worker.leaseUntilMs, order.validUntilClockMs);
         worker.running[order.task] = { order.run, now + this->workers.taskLength.count() };
--- /dev/null
+++ b/modules/coordinator/workers/AdviceService.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <core/errors/Result.h>
+#include <core/text/EnumNames.h>
+#include <jobs/model/AdviceAnswer.h>
+#include <jobs/model/AdviceQuestion.h>
+
+#include <functional>
+
+namespace Greengage {
+
+enum class AdviceFailure {
+    /// Too many questions wait there.
+    Busy,
+    NoAnswer,
+    /// The answer could not be understood, or the question was refused.
+    Malformed,
+};
+
+template <> struct EnumNames<AdviceFailure> {
+    static constexpr std::array<std::pair<AdviceFailure, std::string_view>, 3> table { {
+        { AdviceFailure::Busy, "busy" },
+        { AdviceFailure::NoAnswer, "no_answer" },
+        { AdviceFailure::Malformed, "malformed" },
+    } };
+};
+
+using AdviceCallback = std::function<void(Result<AdviceAnswer, AdviceFailure>)>;
+
+/// Says which workers may run a step. Each call ends in exactly one callback, from the loop.
+template <typename Service>
+concept AdviceService = requires(Service& service, const AdviceQuestion& question, AdviceCallback callback)
+{
+    service.ask(question, callback);
+};
+
+} // namespace Greengage
--- a/modules/jobs/board/Attempt.h
+++ b/modules/jobs/board/Attempt.h
@@ -64,6 +64,8 @@
     /// Not before then is a stop ordered again.
     Deadline nextStop;
     std::string checkpoint;
+    /// Goes with the order to start, if the queue's tasks need one.
+    std::string ticket;
     int pacePercent = 100;
     /// A lasting task is past its start and not paced down, by the latest report.
     bool isAtWork = false;
--- a/modules/jobs/board/JobBoard.cpp
+++ b/modules/jobs/board/JobBoard.cpp
@@ -15,7 +15,7 @@
         if (spec.occurrences)
             occurrence.dueUnixMs = spec.firstDueUnixMs + static_cast<std::int64_t>(index) * spec.intervalMs;
         for (const auto& step : spec.steps)
-            occurrence.steps.push_back({ std::vector<TaskRow>(step.taskCount) });
+            occurrence.steps.emplace_back().tasks.resize(step.taskCount);
     }
     return occurrences;
 }
@@ -197,6 +197,12 @@
     worker.attempts.erase(found);
 }
 
+void JobBoard::dropTicket(const TaskName& task, const WorkerId& worker)
+{
+    if (this->findTask(task))
+        this->stepRow(this->jobs.at(task.job), task).advice.tickets.erase(worker);
+}
+
 void JobBoard::finishTask(JobRow& job, const TaskName& task)
 {
     TaskRow* row = this->findTask(task);
--- a/modules/jobs/board/JobBoard.h
+++ b/modules/jobs/board/JobBoard.h
@@ -62,6 +62,9 @@
     /// Removes an attempt; its task waits again unless it is done.
     void releaseAttempt(WorkerRow&, const TaskName&);
 
+    /// A ticket for the task's step has been refused, so the service has to be asked again.
+    void dropTicket(const TaskName&, const WorkerId&);
+
     /// Marks a task as done. Its job is completed if it was the last one.
     void finishTask(JobRow&, const TaskName&);
 
--- a/modules/jobs/board/JobRow.h
+++ b/modules/jobs/board/JobRow.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <core/time/Deadline.h>
+#include <jobs/board/StepAdvice.h>
 #include <jobs/model/JobRecord.h>
 #include <jobs/model/JobState.h>
 
@@ -33,6 +34,8 @@
     std::vector<TaskRow> tasks;
     std::uint32_t doneCount = 0;
     std::uint32_t activeCount = 0;
+    /// Only of a queue whose tasks need tickets.
+    StepAdvice advice;
 
     bool isDone() const { return this->doneCount == this->tasks.size(); }
     std::uint32_t waitingCount() const
--- a/modules/jobs/jobs.h
+++ b/modules/jobs/jobs.h
@@ -16,6 +16,7 @@
 #include <jobs/model/TaskName.h>
 #include <jobs/model/WorkerFacts.h>
 #include <jobs/model/WorkerReport.h>
+#include <jobs/systems/AdviceSystem.h>
 #include <jobs/systems/JobObjective.h>
 #include <jobs/systems/PlacementSystem.h>
 #include <jobs/systems/ReportSystem.h>
--- a/modules/jobs/model/QueuePolicy.h
+++ b/modules/jobs/model/QueuePolicy.h
@@ -2,8 +2,10 @@
 
 #include <core/text/Identifier.h>
 #include <core/time/Instant.h>
+#include <jobs/model/AdvicePolicy.h>
 
 #include <cstdint>
+#include <optional>
 
 namespace Greengage {
 
@@ -19,8 +21,8 @@
     /// A job is on time if it ends within this many times its longest chain of work, and `slack` more.
     double stretch = 1;
     Milliseconds slack { 0 };
-    /// Whether the queue's tasks need tickets from the advice service before they start.
-    bool needsAdvice = false;
+    /// Set if the queue's tasks need tickets from the advice service before they start.
+    std::optional<AdvicePolicy> advice;
 };
 
 } // namespace Greengage
--- /dev/null
+++ b/modules/jobs/systems/AdviceSystem.cpp
@@ -0,0 +1,112 @@
+#include <jobs/systems/AdviceSystem.h>
+
+#include <jobs/board/JobBoard.h>
+#include <jobs/systems/JobObjective.h>
+#include <jobs/systems/PlacementSystem.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace Greengage {
+
+std::optional<AdviceQuestion> AdviceSystem::nextQuestion(Instant now, std::int64_t nowUnixMs)
+{
+    std::optional<AdviceQuestion> best;
+    std::pair<bool, std::int64_t> bestRank;
+    for (auto& [id, job] : this->board.jobs) {
+        auto queue = this->board.policies->queues.find(job.record.queue);
+        if (job.hasEnded() || queue == this->board.policies->queues.end() || !queue->second.advice)
+            continue;
+        JobObjective objective(job, queue->second);
+        std::pair rank(!objective.canBeOnTime(nowUnixMs), objective.latestStartUnixMs());
+        if (best && bestRank <= rank)
+            continue;
+        if (auto question = this->questionFor(job, queue->second, now, nowUnixMs)) {
+            best = std::move(question);
+            bestRank = rank;
+        }
+    }
+    if (best)
+        this->findStep(best->step)->advice.isBeingAsked = true;
+    return best;
+}
+
+std::optional<AdviceQuestion> AdviceSystem::questionFor(
+    JobRow& job, const QueuePolicy& queue, Instant now, std::int64_t nowUnixMs)
+{
+    TaskName name { job.record.id };
+    for (; name.occurrence < job.occurrences.size(); ++name.occurrence) {
+        const auto& occurrence = job.occurrences[name.occurrence];
+        for (name.step = 0; name.step < occurrence.steps.size(); ++name.step) {
+            const StepRow& step = occurrence.steps[name.step];
+            bool isOpen = step.waitingCount() > 0 && !step.advice.isBeingAsked
+                && step.advice.nextQuestion.hasPassed(now)
+                && this->board.isReady(job, occurrence, name.step, nowUnixMs);
+            if (!isOpen)
+                continue;
+            AdviceQuestion question { name, this->workersToAskAbout(job, queue, name, step, now) };
+            if (question.workers.empty())
+                continue;
+            question.takes = queue.advice->decisionTime
+                + queue.advice->timePerWorker * static_cast<std::int64_t>(question.workers.size());
+            return question;
+        }
+    }
+    return std::nullopt;
+}
+
+std::vector<WorkerId> AdviceSystem::workersToAskAbout(
+    const JobRow& job, const QueuePolicy& queue, const TaskName& name, const StepRow& step, Instant now) const
+{
+    const StepSpec& spec = job.record.spec.steps[name.step];
+    std::vector<std::pair<std::int64_t, WorkerId>> found;
+    for (const auto& [id, worker] : this->board.workers) {
+        bool isKnown = step.advice.unfit.contains(id) || step.advice.ticketFor(id, worker.facts.bornUnixMs, now);
+        if (isKnown || worker.facts.pool != queue.pool || !PlacementSystem::takesWork(worker, now)
+            || !PlacementSystem::couldTake(worker, spec))
+            continue;
+        found.emplace_back(worker.occupied.cpuMillis - worker.facts.capacity.cpuMillis, id);
+    }
+    std::sort(found.begin(), found.end());
+    std::vector<WorkerId> workers;
+    for (std::size_t index = 0; index < std::min(found.size(), workersPerQuestion); ++index)
+        workers.push_back(found[index].second);
+    return workers;
+}
+
+StepRow* AdviceSystem::findStep(const TaskName& name)
+{
+    auto job = this->board.jobs.find(name.job);
+    if (job == this->board.jobs.end() || name.occurrence >= job->second.occurrences.size())
+        return nullptr;
+    auto& steps = job->second.occurrences[name.occurrence].steps;
+    return name.step < steps.size() ? &steps[name.step] : nullptr;
+}
+
+void AdviceSystem::take(const AdviceQuestion& question, const AdviceAnswer& answer, Instant now)
+{
+    StepRow* step = this->findStep(question.step);
+    if (!step)
+        return;
+    step->advice.isBeingAsked = false;
+    Deadline validUntil = Deadline::after(now, std::max(Milliseconds(0), answer.validFor - ticketMargin));
+    for (const auto& id : question.workers) {
+        const WorkerRow* worker = this->board.findWorker(id);
+        auto ticket = answer.fit.find(id);
+        if (ticket == answer.fit.end())
+            step->advice.unfit.insert(id);
+        else if (worker)
+            step->advice.tickets[id] = { ticket->second, worker->facts.bornUnixMs, validUntil };
+    }
+}
+
+void AdviceSystem::fail(const AdviceQuestion& question, Instant now)
+{
+    StepRow* step = this->findStep(question.step);
+    if (!step)
+        return;
+    step->advice.isBeingAsked = false;
+    step->advice.nextQuestion = Deadline::after(now, failurePause);
+}
+
+} // namespace Greengage
--- a/modules/jobs/systems/PlacementSystem.cpp
+++ b/modules/jobs/systems/PlacementSystem.cpp
@@ -47,6 +47,12 @@
         && !worker.isEvacuating && worker.setAsideUntil.hasPassed(now);
 }
 
+bool PlacementSystem::couldTake(const WorkerRow& worker, const StepSpec& step)
+{
+    return roomFor(step).fitsIn(worker.facts.capacity - worker.occupied)
+        && (step.requiredLabel.empty() || hasLabel(worker, step.requiredLabel));
+}
+
 namespace {
 
 /// In which order jobs get room; smaller goes first.
@@ -68,6 +74,7 @@
 std::vector<StartOrder> PlacementSystem::place(Instant now, std::int64_t nowUnixMs)
 {
     this->orders.clear();
+    this->roundAt = now;
     std::unordered_map<PoolId, Pool> pools;
     for (auto& [id, worker] : this->board.workers) {
         if (takesWork(worker, now))
@@ -143,7 +150,7 @@
         if (!this->isWithinMaximum(job, spec.demand))
             return;
         TaskName name { job.record.id, occurrence, step, index };
-        WorkerRow* worker = this->chooseInPool(spec, name, pool, tasks[index].failedOn);
+        WorkerRow* worker = this->chooseInPool(job, name, pool);
         if (!worker)
             return;
         this->begin(job, name, *worker, std::max(this->board.lowestRun, tasks[index].run + 1), now);
@@ -187,9 +194,7 @@
     std::size_t firstOrder = this->orders.size();
     for (std::uint32_t index = 0; index < row.tasks.size(); ++index) {
         TaskName name { job.record.id, occurrence, step, index };
-        WorkerRow* worker = this->isWithinMaximum(job, spec.demand)
-            ? this->choose(spec, name, workers, row.tasks[index].failedOn)
-            : nullptr;
+        WorkerRow* worker = this->isWithinMaximum(job, spec.demand) ? this->choose(job, name, workers) : nullptr;
         if (!worker) {
             // All members start together or none does.
             for (std::size_t order = firstOrder; order < this->orders.size(); ++order)
@@ -220,38 +225,47 @@
     }
 }
 
-WorkerRow* PlacementSystem::chooseInPool(
-    const StepSpec& step, const TaskName& task, Pool& pool, const WorkerId& failedOn) const
+WorkerRow* PlacementSystem::chooseInPool(const JobRow& job, const TaskName& task, Pool& pool) const
 {
+    const StepSpec& step = job.record.spec.steps[task.step];
     Demand needed = roomFor(step);
     bool isTooMuch = std::any_of(
         pool.tooMuch.begin(), pool.tooMuch.end(), [&needed](const Demand& tooMuch) { return tooMuch.fitsIn(needed); });
     if (isTooMuch)
         return nullptr;
-    WorkerRow* worker = this->choose(step, task, pool.workers, failedOn);
-    if (!worker && step.requiredLabel.empty() && !step.perWorkerLimit)
+    WorkerRow* worker = this->choose(job, task, pool.workers);
+    bool anyWorkerWillDo = step.requiredLabel.empty() && !step.perWorkerLimit && !this->needsTicket(job);
+    if (!worker && anyWorkerWillDo)
         pool.tooMuch.push_back(needed);
     return worker;
 }
 
-WorkerRow* PlacementSystem::choose(
-    const StepSpec& step, const TaskName& task, const Workers& workers, const WorkerId& failedOn) const
+bool PlacementSystem::needsTicket(const JobRow& job) const
 {
-    Demand needed = roomFor(step);
+    auto queue = this->board.policies->queues.find(job.record.queue);
+    return queue != this->board.policies->queues.end() && queue->second.advice.has_value();
+}
+
+WorkerRow* PlacementSystem::choose(const JobRow& job, const TaskName& task, const Workers& workers) const
+{
+    const StepSpec& step = job.record.spec.steps[task.step];
+    const StepRow& row = job.occurrences[task.occurrence].steps[task.step];
+    const WorkerId& failedOn = row.tasks[task.index].failedOn;
+    bool needsTicket = this->needsTicket(job);
     WorkerRow* best = nullptr;
     std::tuple<bool, bool, bool, std::uint32_t, std::int64_t> bestRank;
     for (WorkerRow* worker : workers) {
-        Demand room = worker->facts.capacity - worker->occupied;
-        if (!needed.fitsIn(room))
+        if (!couldTake(*worker, step))
             continue;
-        if (!step.requiredLabel.empty() && !hasLabel(*worker, step.requiredLabel))
+        if (needsTicket && !row.advice.ticketFor(worker->facts.id, worker->facts.bornUnixMs, this->roundAt))
             continue;
         std::uint32_t siblings = siblingsOn(*worker, task);
         if (step.perWorkerLimit && siblings >= step.perWorkerLimit)
             continue;
         bool disturbs = step.fills ? worker->servingCount > 0 : step.tailTarget.count() && worker->fillingCount > 0;
         bool isFar = !step.preferredRack.empty() && !hasLabel(*worker, step.preferredRack);
-        std::tuple rank(worker->facts.id == failedOn, disturbs, isFar, step.lasting ? siblings : 0U, room.cpuMillis);
+        std::int64_t freeCpu = worker->facts.capacity.cpuMillis - worker->occupied.cpuMillis;
+        std::tuple rank(worker->facts.id == failedOn, disturbs, isFar, step.lasting ? siblings : 0U, freeCpu);
         if (!best || rank < bestRank) {
             best = worker;
             bestRank = rank;
@@ -277,7 +291,10 @@
 void PlacementSystem::begin(JobRow& job, const TaskName& task, WorkerRow& worker, std::uint32_t run, Instant now)
 {
     Attempt& attempt = this->board.beginAttempt(worker, job, task, run, AttemptPhase::Planned, now);
-    attempt.checkpoint = this->board.findTask(task)->checkpoint;
+    const StepRow& step = job.occurrences[task.occurrence].steps[task.step];
+    attempt.checkpoint = step.tasks[task.index].checkpoint;
+    if (const Ticket* ticket = step.advice.ticketFor(worker.facts.id, worker.facts.bornUnixMs, now))
+        attempt.ticket = ticket->text;
     this->orders.push_back({ worker.facts.id, task, run });
 }
 
--- a/modules/jobs/systems/PlacementSystem.h
+++ b/modules/jobs/systems/PlacementSystem.h
@@ -36,6 +36,9 @@
     /// Whether a worker can be given tasks.
     static bool takesWork(const WorkerRow&, Instant now);
 
+    /// Whether the worker has room and the label for one task of the step.
+    static bool couldTake(const WorkerRow&, const StepSpec&);
+
 private:
     struct Candidate;
     using Workers = std::vector<WorkerRow*>;
@@ -56,13 +59,16 @@
     void stopMembers(const StepRow&, TaskName);
     /// Chooses among all of the pool's workers. Room only shrinks within a round, so what did not fit is not tried
     /// again.
-    WorkerRow* chooseInPool(const StepSpec&, const TaskName&, Pool&, const WorkerId& failedOn) const;
-    WorkerRow* choose(const StepSpec&, const TaskName&, const Workers&, const WorkerId& failedOn) const;
+    WorkerRow* chooseInPool(const JobRow&, const TaskName&, Pool&) const;
+    WorkerRow* choose(const JobRow&, const TaskName&, const Workers&) const;
+    bool needsTicket(const JobRow&) const;
     bool isWithinMaximum(const JobRow&, const Demand&) const;
     void begin(JobRow&, const TaskName&, WorkerRow&, std::uint32_t run, Instant now);
 
     JobBoard& board;
     std::vector<StartOrder> orders;
+    /// When the present round began.
+    Instant roundAt;
 };
 
 } // namespace Greengage
--- /dev/null
+++ b/modules/jobs/tests/AdviceTests.cpp
@@ -0,0 +1,100 @@
+#include "BoardFixture.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace Greengage;
+
+namespace {
+
+struct AdviceFixture : BoardFixture {
+    AdviceFixture()
+    {
+        this->addQueue("advised", "north", 0);
+        this->policies->queues[QueueId("advised")].advice
+            = AdvicePolicy { Milliseconds(20), Milliseconds(2), Milliseconds(3000) };
+    }
+
+    std::optional<AdviceQuestion> question() { return this->system.nextQuestion(this->now, this->unixMs); }
+
+    void answer(const AdviceQuestion& question, std::map<WorkerId, std::string> fit)
+    {
+        this->system.take(question, { std::move(fit), Milliseconds(3000) }, this->now);
+    }
+
+    AdviceSystem system { this->board };
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(Advising, AdviceFixture)
+
+BOOST_AUTO_TEST_CASE(aTaskOfAnAdvisedQueueStartsOnlyWithAValidTicket)
+{
+    this->addWorker("w1");
+    this->addWorker("w2");
+    this->addJob("j", { step(1, 1000) }, "advised");
+    BOOST_TEST(this->place().empty());
+    auto asked = this->question();
+    BOOST_REQUIRE(asked.has_value());
+    BOOST_TEST(asked->workers.size() == 2U);
+    BOOST_TEST((asked->takes == Milliseconds(24)));
+    this->answer(*asked, { { WorkerId("w2"), "t" } });
+    // A ticket of an earlier life, or one that is about to end, lets nothing start.
+    this->board.workers.at(WorkerId("w2")).facts.bornUnixMs = 7;
+    BOOST_TEST(this->place().empty());
+    this->board.workers.at(WorkerId("w2")).facts.bornUnixMs = 0;
+    auto orders = this->place();
+    BOOST_REQUIRE(orders.size() == 1U);
+    BOOST_TEST((orders.front().worker == WorkerId("w2")));
+    BOOST_TEST(this->board.workers.at(WorkerId("w2")).attempts.at(orders.front().task).ticket == "t");
+}
+
+BOOST_AUTO_TEST_CASE(anExpiredOrRefusedTicketIsAskedForAgain)
+{
+    this->addWorker("w1", "north", 1000);
+    this->addJob("j", { step(1, 1000) }, "advised");
+    auto asked = this->question();
+    BOOST_REQUIRE(asked.has_value());
+    BOOST_TEST(!this->question().has_value());
+    this->answer(*asked, { { WorkerId("w1"), "t" } });
+    this->advance(Milliseconds(2800));
+    BOOST_TEST(this->place().empty());
+    asked = this->question();
+    BOOST_REQUIRE(asked.has_value());
+    this->answer(*asked, { { WorkerId("w1"), "t2" } });
+    this->board.dropTicket(task("j", 0, 0), WorkerId("w1"));
+    BOOST_TEST(this->place().empty());
+    BOOST_TEST(this->question().has_value());
+}
+
+BOOST_AUTO_TEST_CASE(unfitWorkersAreNotAskedAboutAgain)
+{
+    this->addWorker("w1");
+    this->addJob("j", { step(1, 1000) }, "advised");
+    this->answer(*this->question(), {});
+    BOOST_TEST(!this->question().has_value());
+    this->addWorker("w2");
+    auto asked = this->question();
+    BOOST_REQUIRE(asked.has_value());
+    BOOST_TEST((asked->workers == std::vector<WorkerId> { WorkerId("w2") }));
+    this->system.fail(*asked, this->now);
+    BOOST_TEST(!this->question().has_value());
+    this->advance(AdviceSystem::failurePause);
+    BOOST_TEST(this->question().has_value());
+}
+
+/// The load: jobs come faster than the service answers.
+BOOST_AUTO_TEST_CASE(theJobThatHasToStartFirstIsAskedForFirst)
+{
+    this->addWorker("w1");
+    this->addJob("late", { step(1, 1000, Milliseconds(100)) }, "advised");
+    this->advance(Seconds(20));
+    this->addJob("relaxed", { step(1, 1000, Milliseconds(5000)) }, "advised");
+    this->addJob("urgent", { step(1, 1000, Milliseconds(100)) }, "advised");
+    std::vector<JobId> order;
+    while (auto asked = this->question())
+        order.push_back(asked->step.job);
+    BOOST_TEST((order == std::vector<JobId> { JobId("urgent"), JobId("relaxed"), JobId("late") }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
