Pace filling tasks beside tasks that serve

For deployments whose lasting tasks have a response time to keep: a filling task beside one that is over its target is stopped at once, slowed by a quarter above 85% of it, and comes back by quarters below 60%. Until now fillers were only placed away from them.

--- a/modules/coordinator/placing/Coordinator.h
+++ b/modules/coordinator/placing/Coordinator.h
@@ -15,6 +15,7 @@
 #include <core/time/UnixClock.h>
 #include <jobs/board/JobBoard.h>
 #include <jobs/codec/CompactJson.h>
+#include <jobs/systems/PacingSystem.h>
 #include <jobs/systems/PlacementSystem.h>
 #include <jobs/systems/PoolLoad.h>
 
@@ -151,6 +152,7 @@
                   owner.store, owner.leadership, board, [this](JobRow& job) { this->orders.startPlanned(job); },
                   [&owner] { owner.hurry(); })
             , placement(board)
+            , pacing(board)
             , advice(owner.advice, board, [&owner] { owner.hurry(); })
             , crew(owner.store, owner.leadership, board)
             , cleaner(owner.store, owner.leadership, owner.limits.keepEndedFor, BootClock::now())
@@ -169,6 +171,7 @@
         PrefixMirror<Store> jobsMirror;
         ProgressWriter<Store> writer;
         PlacementSystem placement;
+        PacingSystem pacing;
         AdviceKeeper<Advice> advice;
         CrewKeeper<Store> crew;
         EndedJobCleaner<Store> cleaner;
@@ -285,7 +288,9 @@
                 this->session->fleet.tick(this->waves, now);
                 this->placeTasks(now);
                 this->session->advice.tick(now);
+                this->session->pacing.advance(now);
                 this->session->orders.orderStops(now);
+                this->session->orders.orderPaces();
                 this->logPools(now);
             }
         }
--- a/modules/coordinator/placing/OrderSender.h
+++ b/modules/coordinator/placing/OrderSender.h
@@ -10,6 +10,7 @@
 #include <algorithm>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <utility>
 #include <vector>
@@ -81,6 +82,20 @@
         }
     }
 
+    /// Orders the pace that filling attempts should have, where it is another one.
+    void orderPaces()
+    {
+        for (auto& [id, worker] : this->board.workers) {
+            if (!worker.fillingCount)
+                continue;
+            for (auto& [task, attempt] : worker.attempts) {
+                bool isWanted = attempt.phase == AttemptPhase::Running && attempt.wantedPace != attempt.pacePercent;
+                if (attempt.fills && isWanted && !attempt.paceUnderWay)
+                    this->orderPace(worker, attempt);
+            }
+        }
+    }
+
 private:
     /// A worker that refused an order, or left one unanswered, gets no other one for so long.
     static constexpr Milliseconds refusalPause { 300 };
@@ -192,6 +207,37 @@
             });
     }
 
+    void orderPace(WorkerRow& worker, Attempt& attempt)
+    {
+        attempt.paceUnderWay = true;
+        writeLog(LogLevel::Info,
+            LogLine("task_pace")
+                .add("task", attempt.task.text())
+                .add("run", attempt.run)
+                .add("worker", worker.facts.id.string())
+                .add("percent", attempt.wantedPace));
+        this->link.pace(this->leases.endpointOf(worker), { attempt.task, attempt.run, attempt.wantedPace, this->token },
+            [this, alive = this->alive, id = worker.facts.id, task = attempt.task, run = attempt.run,
+                percent = attempt.wantedPace](bool isTaken) {
+                if (*alive)
+                    this->takePaceAnswer(id, task, run, isTaken ? std::optional(percent) : std::nullopt);
+            });
+    }
+
+    /// `taken` is the pace that the attempt has from now on; nothing if the order has to be repeated.
+    void takePaceAnswer(const WorkerId& id, const TaskName& task, std::uint32_t run, std::optional<int> taken)
+    {
+        WorkerRow* worker = this->board.findWorker(id);
+        if (!worker)
+            return;
+        auto found = worker->attempts.find(task);
+        if (found == worker->attempts.end() || found->second.run != run)
+            return;
+        found->second.paceUnderWay = false;
+        if (taken)
+            found->second.pacePercent = *taken;
+    }
+
     void takeStopAnswer(const WorkerId& id, const TaskName& task, std::uint32_t run, bool isTaken)
     {
         WorkerRow* worker = this->board.findWorker(id);
--- a/modules/jobs/board/Attempt.h
+++ b/modules/jobs/board/Attempt.h
@@ -58,6 +58,8 @@
     bool isAnswered = false;
     bool fills = false;
     bool serves = false;
+    /// The response time that it must keep, if it serves.
+    Milliseconds tailTarget { 0 };
     bool lasts = false;
     /// A stop order is under way.
     bool stopUnderWay = false;
@@ -66,7 +68,13 @@
     std::string checkpoint;
     /// Goes with the order to start, if the queue's tasks need one.
     std::string ticket;
+    /// The share of its speed at which it works, in percent, by the latest report, and the one that it should have.
     int pacePercent = 100;
+    int wantedPace = 100;
+    /// Not before then is its pace changed again, unless a serving task is over its target.
+    Deadline paceSettled;
+    /// An order to change its pace is under way.
+    bool paceUnderWay = false;
     /// A lasting task is past its start and not paced down, by the latest report.
     bool isAtWork = false;
     std::int64_t load = 0;
--- a/modules/jobs/board/JobBoard.cpp
+++ b/modules/jobs/board/JobBoard.cpp
@@ -157,6 +157,7 @@
     attempt.occupies = step.demand;
     attempt.fills = step.fills;
     attempt.serves = step.tailTarget.count() > 0;
+    attempt.tailTarget = step.tailTarget;
     attempt.lasts = step.lasting;
     if (step.fills)
         attempt.occupies.cpuMillis = 0;
--- a/modules/jobs/jobs.h
+++ b/modules/jobs/jobs.h
@@ -18,5 +18,6 @@
 #include <jobs/model/WorkerReport.h>
 #include <jobs/systems/AdviceSystem.h>
 #include <jobs/systems/JobObjective.h>
+#include <jobs/systems/PacingSystem.h>
 #include <jobs/systems/PlacementSystem.h>
 #include <jobs/systems/ReportSystem.h>
--- a/modules/jobs/systems/ReportSystem.cpp
+++ b/modules/jobs/systems/ReportSystem.cpp
@@ -144,6 +144,7 @@
     Attempt& attempt = this->board.beginAttempt(worker, job, running.task, running.run, AttemptPhase::Running, now);
     attempt.isAnswered = true;
     takeFigures(attempt, running);
+    attempt.wantedPace = running.pacePercent;
     this->note(AttemptEventKind::Adopted, running.task, running.run, worker);
     return true;
 }
