Wait a little for a worker near a step's data

Change: a task whose job is on time near its data but not elsewhere waits up to 1.5 s for a worker there; the slowdown comes from the settings.

Not fetched yet: VMs of the wanted rack from the spare pool. Test: aTaskWaitsForItsRackWhileItWouldBeLateElsewhere.

--- a/modules/coordinator/placing/Coordinator.h
+++ b/modules/coordinator/placing/Coordinator.h
@@ -151,7 +151,7 @@
             , writer(
                   owner.store, owner.leadership, board, [this](JobRow& job) { this->orders.startPlanned(job); },
                   [&owner] { owner.hurry(); })
-            , placement(board)
+            , placement(board, owner.limits.farSlowdown)
             , pacing(board)
             , advice(owner.advice, board, [&owner] { owner.hurry(); })
             , crew(owner.store, owner.leadership, board)
--- a/modules/coordinator/placing/CoordinatorLimits.h
+++ b/modules/coordinator/placing/CoordinatorLimits.h
@@ -14,6 +14,8 @@
     Milliseconds dutyTerm { 3000 };
     /// How long the state of an ended job stays known.
     Milliseconds keepEndedFor { 120'000 };
+    /// How many times as long a task takes away from its data.
+    double farSlowdown = 2;
     /// Processor time of this daemon in thousandths of a core. Larger daemons place tasks before smaller ones.
     std::int64_t cpuMillis = 1000;
 };
--- a/modules/jobs/board/JobRow.h
+++ b/modules/jobs/board/JobRow.h
@@ -6,6 +6,7 @@
 #include <jobs/model/JobState.h>
 
 #include <cstdint>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -34,6 +35,8 @@
     std::vector<TaskRow> tasks;
     std::uint32_t doneCount = 0;
     std::uint32_t activeCount = 0;
+    /// When its turn had come at the first look.
+    std::optional<Instant> readyAt;
     /// Only of a queue whose tasks need tickets.
     StepAdvice advice;
 
--- a/modules/jobs/systems/PlacementSystem.cpp
+++ b/modules/jobs/systems/PlacementSystem.cpp
@@ -75,6 +75,7 @@
 {
     this->orders.clear();
     this->roundAt = now;
+    this->roundUnixMs = nowUnixMs;
     std::unordered_map<PoolId, Pool> pools;
     for (auto& [id, worker] : this->board.workers) {
         if (takesWork(worker, now))
@@ -143,7 +144,10 @@
 void PlacementSystem::placeStep(JobRow& job, std::uint32_t occurrence, std::uint32_t step, Pool& pool, Instant now)
 {
     const StepSpec& spec = job.record.spec.steps[step];
-    auto& tasks = job.occurrences[occurrence].steps[step].tasks;
+    StepRow& row = job.occurrences[occurrence].steps[step];
+    if (!row.readyAt)
+        row.readyAt = now;
+    auto& tasks = row.tasks;
     for (std::uint32_t index = 0; index < tasks.size(); ++index) {
         if (tasks[index].phase != TaskPhase::Waiting)
             continue;
@@ -234,7 +238,8 @@
     if (isTooMuch)
         return nullptr;
     WorkerRow* worker = this->choose(job, task, pool.workers);
-    bool anyWorkerWillDo = step.requiredLabel.empty() && !step.perWorkerLimit && !this->needsTicket(job);
+    bool anyWorkerWillDo
+        = step.requiredLabel.empty() && step.preferredRack.empty() && !step.perWorkerLimit && !this->needsTicket(job);
     if (!worker && anyWorkerWillDo)
         pool.tooMuch.push_back(needed);
     return worker;
@@ -254,6 +259,7 @@
     bool needsTicket = this->needsTicket(job);
     WorkerRow* best = nullptr;
     std::tuple<bool, bool, bool, std::uint32_t, std::int64_t> bestRank;
+    constexpr std::size_t isFarRank = 2;
     for (WorkerRow* worker : workers) {
         if (!couldTake(*worker, step))
             continue;
@@ -271,9 +277,27 @@
             bestRank = rank;
         }
     }
+    if (best && std::get<isFarRank>(bestRank) && this->waitsForItsRack(job, task, workers))
+        return nullptr;
     return best;
 }
 
+bool PlacementSystem::waitsForItsRack(const JobRow& job, const TaskName& task, const Workers& workers) const
+{
+    const StepSpec& step = job.record.spec.steps[task.step];
+    const StepRow& row = job.occurrences[task.occurrence].steps[task.step];
+    auto queue = this->board.policies->queues.find(job.record.queue);
+    if (queue == this->board.policies->queues.end() || !row.readyAt || this->roundAt - *row.readyAt >= longestRackWait)
+        return false;
+    bool isRackThere = std::any_of(workers.begin(), workers.end(), [&step](const WorkerRow* worker) {
+        return hasLabel(*worker, step.preferredRack) && roomFor(step).fitsIn(worker->facts.capacity);
+    });
+    JobObjective objective(job, queue->second);
+    auto longer = static_cast<std::int64_t>((this->farSlowdown - 1) * static_cast<double>(step.estimate.count()));
+    return isRackThere && objective.canBeOnTime(this->roundUnixMs)
+        && !objective.canBeOnTime(this->roundUnixMs + longer);
+}
+
 bool PlacementSystem::isWithinMaximum(const JobRow& job, const Demand& demand) const
 {
     auto team = this->board.policies->teams.find(job.record.team);
--- a/modules/jobs/systems/PlacementSystem.h
+++ b/modules/jobs/systems/PlacementSystem.h
@@ -24,8 +24,13 @@
     /// held an order back delivers it, so that an order without an answer cannot be carried out by surprise.
     static constexpr Milliseconds orderValidFor { 700 };
 
-    explicit PlacementSystem(JobBoard& board)
+    /// The longest that a task waits for a worker near its data while others have room for it.
+    static constexpr Milliseconds longestRackWait { 1500 };
+
+    /// `farSlowdown` says how many times as long a task takes away from its data.
+    explicit PlacementSystem(JobBoard& board, double farSlowdown = 2)
         : board(board)
+        , farSlowdown(farSlowdown)
     {
     }
 
@@ -62,6 +67,9 @@
     WorkerRow* chooseInPool(const JobRow&, const TaskName&, Pool&) const;
     WorkerRow* choose(const JobRow&, const TaskName&, const Workers&) const;
     bool needsTicket(const JobRow&) const;
+    /// Whether a task should rather wait for a worker near its data: its job can still be on time, but not if the task
+    /// runs elsewhere.
+    bool waitsForItsRack(const JobRow&, const TaskName&, const Workers&) const;
     bool isWithinMaximum(const JobRow&, const Demand&) const;
     void begin(JobRow&, const TaskName&, WorkerRow&, std::uint32_t run, Instant now);
 
@@ -69,6 +77,8 @@
     std::vector<StartOrder> orders;
     /// When the present round began.
     Instant roundAt;
+    std::int64_t roundUnixMs = 0;
+    double farSlowdown;
 };
 
 } // namespace Greengage
--- a/modules/jobs/tests/PlacingTests.cpp
+++ b/modules/jobs/tests/PlacingTests.cpp
@@ -91,6 +91,28 @@
     BOOST_TEST((orders[1].task.job == JobId("d-tiny")));
 }
 
+/// The load: more tasks want one rack than it holds.
+BOOST_AUTO_TEST_CASE(aTaskWaitsForItsRackWhileItWouldBeLateElsewhere)
+{
+    this->addWorker("near", "north", 1000).facts.labels = { "a", "rack-7" };
+    this->addWorker("far", "north", 8000);
+    StepSpec bound = step(2, 1000, Milliseconds(1000));
+    bound.preferredRack = "rack-7";
+    this->addJob("j", { bound });
+    // Twice its second of work and 600 ms more: elsewhere, 3 s would be too long.
+    PlacementSystem placement(this->board, 3);
+    auto orders = placement.place(this->now, this->unixMs);
+    BOOST_REQUIRE(orders.size() == 1U);
+    BOOST_TEST((orders.front().worker == WorkerId("near")));
+    this->advance(PlacementSystem::longestRackWait);
+    BOOST_TEST(placement.place(this->now, this->unixMs).size() == 1U);
+    // A short task is on time elsewhere, too.
+    StepSpec quick = step(1, 1000, Milliseconds(100));
+    quick.preferredRack = "rack-7";
+    this->addJob("k", { quick });
+    BOOST_TEST(placement.place(this->now, this->unixMs).size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(aGangStartsWholeOrNotAtAll)
 {
     WorkerRow& worker = this->addWorker("w1", "north", 2000);
