--- a/modules/coordinator/placing/Coordinator.h
+++ b/modules/coordinator/placing/Coordinator.h
@@ -54,6 +54,9 @@
     void resign() { this->leadership.resign(); }
     bool isPlacing() const { return this->leadership.isHolder(); }
 
+    /// The limits of the next session, but for this daemon's processor time.
+    void setLimits(const CoordinatorLimits& newLimits) { this->limits = newLimits; }
+
     /// Puts a version of the operators' decisions in force.
     void setPolicies(std::shared_ptr<const JobPolicies> newPolicies)
     {
--- a/modules/core/log/Log.cpp
+++ b/modules/core/log/Log.cpp
@@ -37,6 +37,8 @@
     spdlog::set_default_logger(logger);
 }
 
+void setLogLevel(LogLevel level) { spdlog::default_logger_raw()->set_level(toSpdlog(level)); }
+
 void writeLog(LogLevel level, const LogLine& line)
 {
     spdlog::default_logger_raw()->log(toSpdlog(level), "{}", line.text());
--- a/modules/core/log/Log.h
+++ b/modules/core/log/Log.h
@@ -28,6 +28,9 @@
 /// start.
 void startLog(LogLevel level);
 
+/// Drops lines below another level from now on.
+void setLogLevel(LogLevel level);
+
 /// Writes one event.
 void writeLog(LogLevel level, const LogLine& line);
 
