--- a/modules/coordinator/tests/FakeWorkers.h
+++ b/modules/coordinator/tests/FakeWorkers.h
@@ -40,6 +40,7 @@
     std::vector<TaskName> doubled;
     std::set<TaskName> notedDone;
     std::size_t starts = 0;
+    std::set<JobId> startedJobs;
     /// The tickets that starts carried.
     std::set<std::string> tickets;
     /// Attempts that ended because their lease was over.
@@ -169,6 +170,7 @@
             this->workers.doubled.push_back(order.task);
         this->workers.starts += 1;
         this->workers.tickets.insert(order.ticket);
+        this->workers.startedJobs.insert(order.task.job);
         worker.fence = order.fencingToken;
         worker.leaseUntilMs = std::max(worker.leaseUntilMs, order.validUntilClockMs);
         worker.running[order.task] = { order.run, now + this->workers.taskLength.count() };
--- a/modules/coordinator/tests/MemoryStore.h
+++ b/modules/coordinator/tests/MemoryStore.h
@@ -4,6 +4,7 @@
 #include <coordinator/tests/After.h>
 #include <core/time/Deadline.h>
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <string>
@@ -131,9 +132,12 @@
         }
         KvListing changes;
         changes.revision = this->tables.revision;
-        for (const auto& item : this->tables.history) {
-            if (item.revision > after && item.key.starts_with(prefix))
-                changes.items.push_back(item);
+        const auto& history = this->tables.history;
+        auto next = std::upper_bound(history.begin(), history.end(), after,
+            [](std::int64_t revision, const KvItem& item) { return revision < item.revision; });
+        for (; next != history.end(); ++next) {
+            if (next->key.starts_with(prefix))
+                changes.items.push_back(*next);
         }
         if (!changes.items.empty() || until.hasPassed(BootClock::now())) {
             this->later(Milliseconds(1), [callback = std::move(callback), changes] { callback(changes); });
