Let teams over their share of the fleet come after the others

Cause: a team's weight was read and not used, so that one team's flood went before others' later jobs while the fleet was full.

Ruled out: shares a pool (usage is kept a team for all pools, as its maximum is).

Change: within an urgency and a priority, jobs of teams that have more of the fleet than their weight among the teams that want any come last.

Tests: aTeamOverItsShareComesAfterTheOthers (fails without the change), aLargerWeightIsALargerShare.

--- a/modules/jobs/systems/PlacementSystem.cpp
+++ b/modules/jobs/systems/PlacementSystem.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <map>
+#include <set>
 #include <tuple>
 #include <utility>
 
@@ -69,6 +70,7 @@
     Urgency urgency;
     int priority;
     std::int64_t order;
+    bool isOverShare = false;
 };
 
 std::vector<StartOrder> PlacementSystem::place(Instant now, std::int64_t nowUnixMs)
@@ -82,9 +84,10 @@
             pools[worker.facts.pool].workers.push_back(&worker);
     }
     auto candidates = this->collect(nowUnixMs);
+    this->markShares(candidates);
     std::sort(candidates.begin(), candidates.end(), [](const Candidate& left, const Candidate& right) {
-        return std::tuple(left.urgency, left.priority, left.order, left.job->record.id)
-            < std::tuple(right.urgency, right.priority, right.order, right.job->record.id);
+        return std::tuple(left.urgency, left.priority, left.isOverShare, left.order, left.job->record.id)
+            < std::tuple(right.urgency, right.priority, right.isOverShare, right.order, right.job->record.id);
     });
     for (const auto& candidate : candidates) {
         const auto& queue = this->board.policies->queues.at(candidate.job->record.queue);
@@ -126,6 +129,35 @@
     return candidates;
 }
 
+void PlacementSystem::markShares(std::vector<Candidate>& candidates) const
+{
+    std::set<TeamId> teams;
+    for (const auto& candidate : candidates)
+        teams.insert(candidate.job->record.team);
+    for (const auto& [team, use] : this->board.usage) {
+        if (use.cpuMillis > 0)
+            teams.insert(team);
+    }
+    std::int64_t capacity = 0;
+    for (const auto& [id, worker] : this->board.workers)
+        capacity += worker.isListed ? worker.facts.capacity.cpuMillis : 0;
+    double weights = 0;
+    for (const auto& team : teams)
+        weights += this->weightOf(team);
+    for (auto& candidate : candidates) {
+        const TeamId& team = candidate.job->record.team;
+        auto use = this->board.usage.find(team);
+        auto used = static_cast<double>(use == this->board.usage.end() ? 0 : use->second.cpuMillis);
+        candidate.isOverShare = used * weights > static_cast<double>(capacity) * this->weightOf(team);
+    }
+}
+
+double PlacementSystem::weightOf(const TeamId& id) const
+{
+    auto team = this->board.policies->teams.find(id);
+    return team == this->board.policies->teams.end() ? 1.0 : team->second.weight;
+}
+
 void PlacementSystem::placeJob(JobRow& job, Pool& pool, Instant now, std::int64_t nowUnixMs)
 {
     for (std::uint32_t occurrence = 0; occurrence < job.occurrences.size(); ++occurrence) {
--- a/modules/jobs/systems/PlacementSystem.h
+++ b/modules/jobs/systems/PlacementSystem.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <core/text/Identifier.h>
 #include <core/time/Instant.h>
 #include <jobs/model/Demand.h>
 #include <jobs/systems/StartOrder.h>
@@ -17,7 +18,9 @@
 struct WorkerRow;
 
 /// Decides which waiting tasks start now and where. It answers a load in which each queue in turn asks for several
-/// times what its pool holds: jobs that can still be on time go first, those that cannot take what is left.
+/// times what its pool holds: jobs that can still be on time go first, those that cannot take what is left. It also
+/// answers one in which one team sends many times its usual: a team that has more than its share of the fleet comes
+/// after the others.
 class PlacementSystem {
 public:
     /// How long a start order stays valid at the worker. Shorter than the shortest delay after which a network that
@@ -55,6 +58,9 @@
     };
 
     std::vector<Candidate> collect(std::int64_t nowUnixMs) const;
+    /// Marks the candidates whose teams have more of the fleet than their weight among the teams that want any.
+    void markShares(std::vector<Candidate>&) const;
+    double weightOf(const TeamId&) const;
     void placeJob(JobRow&, Pool&, Instant now, std::int64_t nowUnixMs);
     void placeStep(JobRow&, std::uint32_t occurrence, std::uint32_t step, Pool&, Instant now);
     void placeGang(JobRow&, std::uint32_t occurrence, std::uint32_t step, const Workers&, Instant now);
--- a/modules/jobs/tests/PlacingTests.cpp
+++ b/modules/jobs/tests/PlacingTests.cpp
@@ -91,6 +91,37 @@
     BOOST_TEST((orders[1].task.job == JobId("d-tiny")));
 }
 
+/// The load: one team sends far more than the others while the fleet is full.
+BOOST_AUTO_TEST_CASE(aTeamOverItsShareComesAfterTheOthers)
+{
+    this->addWorker("w1", "north", 8000);
+    this->policies->teams[TeamId("hot")] = { TeamId("hot"), 1, {} };
+    this->policies->teams[TeamId("calm")] = { TeamId("calm"), 1, {} };
+    this->addJob("flood", { step(6, 1000) }, "quick", "hot");
+    BOOST_TEST(this->placeAndRun().size() == 6U);
+    this->addJob("a-more", { step(6, 1000) }, "quick", "hot");
+    this->advance(Milliseconds(100));
+    this->addJob("b-calm", { step(2, 1000) }, "quick", "calm");
+    auto orders = this->place();
+    BOOST_REQUIRE(orders.size() == 2U);
+    for (const auto& order : orders)
+        BOOST_TEST((order.task.job == JobId("b-calm")));
+}
+
+BOOST_AUTO_TEST_CASE(aLargerWeightIsALargerShare)
+{
+    this->addWorker("w1", "north", 8000);
+    this->policies->teams[TeamId("large")] = { TeamId("large"), 4, {} };
+    this->policies->teams[TeamId("small")] = { TeamId("small"), 1, {} };
+    this->addJob("first", { step(6, 1000) }, "quick", "large");
+    BOOST_TEST(this->placeAndRun().size() == 6U);
+    this->addJob("a-large", { step(2, 1000) }, "quick", "large");
+    this->advance(Milliseconds(100));
+    this->addJob("b-small", { step(2, 1000) }, "quick", "small");
+    for (const auto& order : this->place())
+        BOOST_TEST((order.task.job == JobId("a-large")));
+}
+
 /// The load: more tasks want one rack than it holds.
 BOOST_AUTO_TEST_CASE(aTaskWaitsForItsRackWhileItWouldBeLateElsewhere)
 {
