Keep daemons' sizes and signals in classes of their own; do not take a part back that is being handed over

Found by reading: a smaller holder that handed over still took itself for the last holder until the store told otherwise, and tried to take the part back at once; only the order of two commits decided. It now counts the part as vacant. Not reproduced: the stand-in carries commits out in order.

SignalWatch replaces the signal set-up that both mains had; DaemonSizes holds what Leadership had grown for sizes.

--- a/modules/coordinator/leadership/Leadership.h
+++ b/modules/coordinator/leadership/Leadership.h
@@ -1,14 +1,13 @@
 #pragma once
 
+#include <coordinator/leadership/DaemonSizes.h>
 #include <coordinator/leadership/HolderRecord.h>
 #include <coordinator/leadership/StoreKeys.h>
 #include <coordinator/store/PrefixMirror.h>
 #include <core/time/Deadline.h>
 
 #include <algorithm>
-#include <charconv>
 #include <functional>
-#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -61,7 +60,7 @@
         Handlers handlers)
         : store(store)
         , self { std::move(daemon), std::move(incarnation), 0 }
-        , cpuMillis(cpuMillis)
+        , sizes(store, this->self.daemon, cpuMillis)
         , handlers(std::move(handlers))
         , mirror(base, store, StoreKeys::leadership, watchWait,
               { [this](const KvListing& listing) { this->takeListing(listing); },
@@ -123,6 +122,8 @@
         KvCommit commit { { this->condition() }, { { StoreKeys::holder, vacant.encode() } }, {} };
         this->addOfferRemoval(commit);
         this->stepDown(reason);
+        // Until the store tells of it, so that the part is not taken back at once.
+        this->holder = vacant;
         this->store.commit(commit, [](auto result) {
             if (!result.has_value())
                 writeLog(LogLevel::Warning, LogLine("resignation_failed").add("reason", nameOf(result.error())));
@@ -150,51 +151,18 @@
             else if (item.key == StoreKeys::offer)
                 this->offeredBy = item.isRemoved ? DaemonId() : DaemonId(item.value);
             else if (item.key.starts_with(StoreKeys::sizes))
-                this->takeSize(item);
+                this->sizes.take(item);
         }
-        this->publishSize();
+        this->sizes.publish();
         this->considerHandingOver();
         this->considerTaking(now);
         this->considerOffering(now);
     }
 
-    void takeSize(const KvItem& item)
-    {
-        DaemonId daemon(item.key.substr(std::string_view(StoreKeys::sizes).size()));
-        std::int64_t size = 0;
-        std::from_chars(item.value.data(), item.value.data() + item.value.size(), size);
-        if (item.isRemoved || size <= 0)
-            this->sizes.erase(daemon);
-        else
-            this->sizes[daemon] = size;
-    }
-
-    /// The size that a daemon has told of; zero if it has not.
-    std::int64_t sizeOf(const DaemonId& daemon) const
-    {
-        auto found = this->sizes.find(daemon);
-        return found == this->sizes.end() ? 0 : found->second;
-    }
-
-    bool isLargest() const
-    {
-        return std::all_of(this->sizes.begin(), this->sizes.end(),
-            [this](const auto& entry) { return entry.second <= this->cpuMillis; });
-    }
-
-    void publishSize()
-    {
-        if (this->isPublishing || this->sizeOf(this->self.daemon) == this->cpuMillis)
-            return;
-        this->isPublishing = true;
-        KvCommit commit { {}, { { StoreKeys::size(this->self.daemon), std::to_string(this->cpuMillis) } }, {} };
-        this->store.commit(commit, [this](auto) { this->isPublishing = false; });
-    }
-
     /// Hands the part to a larger daemon that has offered itself.
     void considerHandingOver()
     {
-        if (this->term && this->sizeOf(this->offeredBy) > this->cpuMillis)
+        if (this->term && this->sizes.of(this->offeredBy) > this->sizes.own())
             this->handBack("a larger daemon has offered itself");
     }
 
@@ -204,13 +172,17 @@
         bool isSteady = this->storeBackAt && now - *this->storeBackAt >= steadyFor;
         if (this->term || this->isOffering || this->isResigning || !isSteady || !this->offeredBy.isEmpty())
             return;
-        std::int64_t held = this->holder ? this->sizeOf(this->holder->daemon) : 0;
-        if (held == 0 || held >= this->cpuMillis)
+        std::int64_t held = this->holder ? this->sizes.of(this->holder->daemon) : 0;
+        if (held == 0 || held >= this->sizes.own())
             return;
         this->isOffering = true;
         KvCommit commit { { { StoreKeys::holder, this->holderRevision }, { StoreKeys::offer, 0 } },
             { { StoreKeys::offer, this->self.daemon.string() } }, {} };
-        this->store.commit(commit, [this](auto) { this->isOffering = false; });
+        this->store.commit(commit, [this](auto result) {
+            this->isOffering = false;
+            if (result.has_value() && result.value().isCommitted)
+                writeLog(LogLevel::Info, LogLine("leadership_offered").add("size", this->sizes.own()));
+        });
     }
 
     void addOfferRemoval(KvCommit& commit) const
@@ -279,7 +251,7 @@
             if (!this->vacantSince)
                 this->vacantSince = now;
             bool goesFirst = wasOurs || this->offeredBy == this->self.daemon;
-            Milliseconds patience = this->isLargest() ? Milliseconds(0) : largerFirst;
+            Milliseconds patience = this->sizes.isLargest() ? Milliseconds(0) : largerFirst;
             // Before there was any holder, the daemons may not know of each other yet.
             if (!this->holder)
                 patience += largerFirst;
@@ -288,7 +260,7 @@
             return;
         }
         Instant silentSince = std::max(this->beatSeenAt, *this->storeBackAt);
-        if (now - silentSince < (this->isLargest() ? silenceLimit : silenceLimit + largerFirst))
+        if (now - silentSince < (this->sizes.isLargest() ? silenceLimit : silenceLimit + largerFirst))
             return;
         this->isTaking = true;
         // The changes read last may be old if this process was paused, so the beat is read once more.
@@ -339,7 +311,7 @@
 
     Store& store;
     HolderRecord self;
-    std::int64_t cpuMillis;
+    DaemonSizes<Store> sizes;
     Handlers handlers;
     PrefixMirror<Store> mirror;
     Timer timer;
@@ -352,8 +324,6 @@
     std::optional<Instant> storeBackAt;
     /// Since when nobody has held the part, as far as this daemon has seen.
     std::optional<Instant> vacantSince;
-    /// What the daemons have, in thousandths of a core, whether or not they are alive.
-    std::map<DaemonId, std::int64_t> sizes;
     /// Who has offered to take the part over; empty if nobody has.
     DaemonId offeredBy;
     std::optional<Term> term;
@@ -362,7 +332,6 @@
     Deadline earlierOrdersOver;
     bool isBeating = false;
     bool isTaking = false;
-    bool isPublishing = false;
     bool isOffering = false;
     bool isResigning = false;
 };
--- a/modules/daemon/main.cpp
+++ b/modules/daemon/main.cpp
@@ -2,7 +2,7 @@
 #include <core/log/Log.h>
 #include <core/log/LogLine.h>
 #include <daemon/process/Daemon.h>
-#include <loop/memory/EventDeleter.h>
+#include <loop/loop.h>
 
 #include <CLI/CLI.hpp>
 #include <csignal>
@@ -20,11 +20,8 @@
 {
     Greengage::EventPointer<event_base> base(event_base_new());
     Greengage::Daemon daemon(*base, settings, [&base] { event_base_loopbreak(base.get()); });
-    auto onSignal = [](evutil_socket_t, short, void* target) { static_cast<Greengage::Daemon*>(target)->shutDown(); };
-    Greengage::EventPointer<event> terminated(evsignal_new(base.get(), SIGTERM, onSignal, &daemon));
-    Greengage::EventPointer<event> interrupted(evsignal_new(base.get(), SIGINT, onSignal, &daemon));
-    event_add(terminated.get(), nullptr);
-    event_add(interrupted.get(), nullptr);
+    Greengage::SignalWatch terminated(*base, SIGTERM, [&daemon] { daemon.shutDown(); });
+    Greengage::SignalWatch interrupted(*base, SIGINT, [&daemon] { daemon.shutDown(); });
     std::signal(SIGPIPE, SIG_IGN);
     auto started = daemon.start();
     if (!started.has_value()) {
--- /dev/null
+++ b/modules/loop/signals/SignalWatch.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <loop/memory/EventDeleter.h>
+
+#include <functional>
+
+struct event_base;
+
+namespace Greengage {
+
+/// Calls back from the loop each time the process gets a signal.
+class SignalWatch {
+public:
+    SignalWatch(event_base& base, int signal, std::function<void()> callback);
+    ~SignalWatch();
+
+    SignalWatch(const SignalWatch&) = delete;
+    SignalWatch& operator=(const SignalWatch&) = delete;
+
+private:
+    std::function<void()> callback;
+    EventPointer<event> received;
+};
+
+} // namespace Greengage
