Say once what a task occupies, whose attempts are visited, and when a round began

No behaviour changes. What a task takes of a worker's room was worked out in three places (placement, board, reports) and is now StepSpec::occupies(); stopMembers walked a step's attempts beside the board's own visit and now calls it; a round's time was passed down beside the members that held it. Attempt::serves follows from tailTarget; JobRow::isUnrecorded was written and never read; the condition under which daemons share a limit stood twice.

Off the hot path: a round without waiting tasks looks at no worker, and the advice system at no job while no queue needs advice.

--- a/modules/coordinator/placing/ProgressWriter.h
+++ b/modules/coordinator/placing/ProgressWriter.h
@@ -92,7 +92,6 @@
             return;
         }
         JobRow& job = found->second;
-        job.isUnrecorded = false;
         this->board.unrecorded.erase(id);
         if (!job.hasEnded()) {
             commit.expected.emplace_back(StoreKeys::progress(id), job.progressRevision);
--- a/modules/fleet/requests/limits/AllotmentPlan.cpp
+++ b/modules/fleet/requests/limits/AllotmentPlan.cpp
@@ -83,8 +83,7 @@
 
 void AllotmentPlan::capStarts(const TeamDemandView& view) const
 {
-    bool isCapped = view.isShort && view.peerStarves;
-    this->state.teams[view.team].startCap = isCapped ? view.fairPart : std::numeric_limits<int>::max();
+    this->state.teams[view.team].startCap = view.mustShare() ? view.fairPart : std::numeric_limits<int>::max();
 }
 
 int AllotmentPlan::plan(const Team& team) const
@@ -102,7 +101,7 @@
 {
     int wanted = view.running + view.waiting;
     int afterCap = std::max(view.running, view.fairPart);
-    if (view.isShort && view.peerStarves && view.held > afterCap)
+    if (view.mustShare() && view.held > afterCap)
         return afterCap;
     if (wanted > view.held) {
         int most = view.isShort ? std::max(view.held, view.fairPart) : view.limit;
--- a/modules/fleet/requests/limits/TeamDemandView.h
+++ b/modules/fleet/requests/limits/TeamDemandView.h
@@ -24,6 +24,9 @@
     int equalPart = 0;
     /// Whether the demand of all live daemons exceeds the limit.
     bool isShort = false;
+
+    /// Whether daemons keep to their fair part, so that a starving peer gets units.
+    bool mustShare() const { return this->isShort && this->peerStarves; }
 };
 
 } // namespace Greengage
--- a/modules/jobs/board/Attempt.h
+++ b/modules/jobs/board/Attempt.h
@@ -57,9 +57,10 @@
     /// The worker is known to have carried the order out.
     bool isAnswered = false;
     bool fills = false;
-    bool serves = false;
-    /// The response time that it must keep, if it serves.
+    /// The response time that it must keep; zero if it serves none.
     Milliseconds tailTarget { 0 };
+    bool serves() const { return this->tailTarget.count() > 0; }
+
     bool lasts = false;
     /// A stop order is under way.
     bool stopUnderWay = false;
--- a/modules/jobs/board/JobBoard.cpp
+++ b/modules/jobs/board/JobBoard.cpp
@@ -154,15 +154,12 @@
         this->noteStarted(job);
     attempt.team = job.record.team;
     attempt.charged = step.demand;
-    attempt.occupies = step.demand;
+    attempt.occupies = step.occupies();
     attempt.fills = step.fills;
-    attempt.serves = step.tailTarget.count() > 0;
     attempt.tailTarget = step.tailTarget;
     attempt.lasts = step.lasting;
-    if (step.fills)
-        attempt.occupies.cpuMillis = 0;
     worker.fillingCount += attempt.fills ? 1 : 0;
-    worker.servingCount += attempt.serves ? 1 : 0;
+    worker.servingCount += attempt.serves() ? 1 : 0;
     attempt.orderedAt = now;
     attempt.confirmedAt = now;
     worker.occupied += attempt.occupies;
@@ -185,7 +182,7 @@
     const Attempt& attempt = found->second;
     worker.occupied -= attempt.occupies;
     worker.fillingCount -= attempt.fills ? 1 : 0;
-    worker.servingCount -= attempt.serves ? 1 : 0;
+    worker.servingCount -= attempt.serves() ? 1 : 0;
     this->usage[attempt.team] -= attempt.charged;
     TaskRow* row = this->findTask(task);
     if (row && row->phase == TaskPhase::Active && row->worker == worker.facts.id && row->run == attempt.run) {
@@ -241,11 +238,7 @@
         this->endJob(job, JobState::Failed);
 }
 
-void JobBoard::markUnrecorded(JobRow& job)
-{
-    job.isUnrecorded = true;
-    this->unrecorded.insert(job.record.id);
-}
+void JobBoard::markUnrecorded(JobRow& job) { this->unrecorded.insert(job.record.id); }
 
 void JobBoard::clearWorker(WorkerRow& worker)
 {
--- a/modules/jobs/board/JobBoard.h
+++ b/modules/jobs/board/JobBoard.h
@@ -91,13 +91,13 @@
             auto& steps = job.occurrences[name.occurrence].steps;
             for (name.step = 0; name.step < steps.size(); ++name.step) {
                 if (steps[name.step].activeCount)
-                    this->forEachAttemptOf(steps[name.step], name, visit);
+                    this->forEachAttempt(steps[name.step], name, visit);
             }
         }
     }
 
-private:
-    template <typename Visit> void forEachAttemptOf(StepRow& step, TaskName name, Visit& visit)
+    /// Visits those of one step. The name's index is not used.
+    template <typename Visit> void forEachAttempt(StepRow& step, TaskName name, Visit visit)
     {
         for (name.index = 0; name.index < step.tasks.size(); ++name.index) {
             const TaskRow& task = step.tasks[name.index];
@@ -109,6 +109,7 @@
         }
     }
 
+private:
     StepRow& stepRow(JobRow&, const TaskName&);
 };
 
--- a/modules/jobs/board/JobRow.h
+++ b/modules/jobs/board/JobRow.h
@@ -61,8 +61,6 @@
     std::uint32_t doneOccurrences = 0;
     /// Waiting or Running until the job has ended.
     JobState state = JobState::Waiting;
-    /// The stored progress is behind what is known.
-    bool isUnrecorded = false;
     /// The store's revision of the job's record.
     std::int64_t recordRevision = 0;
     /// The store's revision of the stored progress, 0 if there is none.
--- a/modules/jobs/model/StepSpec.h
+++ b/modules/jobs/model/StepSpec.h
@@ -40,6 +40,12 @@
     bool lasting = false;
     /// The tasks use only the processor time that others leave.
     bool fills = false;
+
+    /// What each task takes of a worker's room.
+    Demand occupies() const
+    {
+        return { this->fills ? 0 : this->demand.cpuMillis, this->demand.memoryMegabytes, this->demand.accelerators };
+    }
 };
 
 } // namespace Greengage
--- a/modules/jobs/systems/AdviceSystem.cpp
+++ b/modules/jobs/systems/AdviceSystem.cpp
@@ -11,11 +11,14 @@
 
 std::optional<AdviceQuestion> AdviceSystem::nextQuestion(Instant now, std::int64_t nowUnixMs)
 {
+    const auto& queues = this->board.policies->queues;
+    if (std::none_of(queues.begin(), queues.end(), [](const auto& entry) { return entry.second.advice.has_value(); }))
+        return std::nullopt;
     std::optional<AdviceQuestion> best;
     std::pair<bool, std::int64_t> bestRank;
     for (auto& [id, job] : this->board.jobs) {
-        auto queue = this->board.policies->queues.find(job.record.queue);
-        if (job.hasEnded() || queue == this->board.policies->queues.end() || !queue->second.advice)
+        auto queue = queues.find(job.record.queue);
+        if (job.hasEnded() || queue == queues.end() || !queue->second.advice)
             continue;
         JobObjective objective(job, queue->second);
         std::pair rank(!objective.canBeOnTime(nowUnixMs), objective.latestStartUnixMs());
--- a/modules/jobs/systems/PacingSystem.cpp
+++ b/modules/jobs/systems/PacingSystem.cpp
@@ -19,7 +19,7 @@
     constexpr int wholeTarget = 100;
     std::int64_t worst = 0;
     for (const auto& [task, attempt] : worker.attempts) {
-        if (attempt.serves && attempt.phase == AttemptPhase::Running)
+        if (attempt.serves() && attempt.phase == AttemptPhase::Running)
             worst = std::max(worst, attempt.load * wholeTarget / attempt.tailTarget.count());
     }
     return static_cast<int>(worst);
--- a/modules/jobs/systems/PlacementSystem.cpp
+++ b/modules/jobs/systems/PlacementSystem.cpp
@@ -19,15 +19,6 @@
     return std::find(labels.begin(), labels.end(), label) != labels.end();
 }
 
-/// What a task of the step takes of a worker's room.
-Demand roomFor(const StepSpec& step)
-{
-    Demand needed = step.demand;
-    if (step.fills)
-        needed.cpuMillis = 0;
-    return needed;
-}
-
 std::uint32_t siblingsOn(const WorkerRow& worker, const TaskName& task)
 {
     std::uint32_t count = 0;
@@ -50,7 +41,7 @@
 
 bool PlacementSystem::couldTake(const WorkerRow& worker, const StepSpec& step)
 {
-    return roomFor(step).fitsIn(worker.facts.capacity - worker.occupied)
+    return step.occupies().fitsIn(worker.facts.capacity - worker.occupied)
         && (step.requiredLabel.empty() || hasLabel(worker, step.requiredLabel));
 }
 
@@ -78,12 +69,14 @@
     this->orders.clear();
     this->roundAt = now;
     this->roundUnixMs = nowUnixMs;
+    auto candidates = this->collect();
+    if (candidates.empty())
+        return {};
     std::unordered_map<PoolId, Pool> pools;
     for (auto& [id, worker] : this->board.workers) {
         if (takesWork(worker, now))
             pools[worker.facts.pool].workers.push_back(&worker);
     }
-    auto candidates = this->collect(nowUnixMs);
     this->markShares(candidates);
     std::sort(candidates.begin(), candidates.end(), [](const Candidate& left, const Candidate& right) {
         return std::tuple(left.urgency, left.priority, left.isOverShare, left.order, left.job->record.id)
@@ -93,12 +86,12 @@
         const auto& queue = this->board.policies->queues.at(candidate.job->record.queue);
         auto pool = pools.find(queue.pool);
         if (pool != pools.end())
-            this->placeJob(*candidate.job, pool->second, now, nowUnixMs);
+            this->placeJob(*candidate.job, pool->second);
     }
     return std::exchange(this->orders, {});
 }
 
-std::vector<PlacementSystem::Candidate> PlacementSystem::collect(std::int64_t nowUnixMs) const
+std::vector<PlacementSystem::Candidate> PlacementSystem::collect() const
 {
     std::vector<Candidate> candidates;
     for (auto& [id, job] : this->board.jobs) {
@@ -118,7 +111,7 @@
         if (job.record.spec.steps.front().lasting) {
             candidate.urgency = Urgency::Lasting;
             candidate.order = job.record.receivedUnixMs;
-        } else if (objective.canBeOnTime(nowUnixMs))
+        } else if (objective.canBeOnTime(this->roundUnixMs))
             candidate.order = objective.latestStartUnixMs();
         else {
             candidate.urgency = Urgency::Late;
@@ -158,27 +151,27 @@
     return team == this->board.policies->teams.end() ? 1.0 : team->second.weight;
 }
 
-void PlacementSystem::placeJob(JobRow& job, Pool& pool, Instant now, std::int64_t nowUnixMs)
+void PlacementSystem::placeJob(JobRow& job, Pool& pool)
 {
     for (std::uint32_t occurrence = 0; occurrence < job.occurrences.size(); ++occurrence) {
         auto& row = job.occurrences[occurrence];
         for (std::uint32_t step = 0; step < row.steps.size(); ++step) {
-            if (!row.steps[step].waitingCount() || !this->board.isReady(job, row, step, nowUnixMs))
+            if (!row.steps[step].waitingCount() || !this->board.isReady(job, row, step, this->roundUnixMs))
                 continue;
             if (job.record.spec.steps[step].gang)
-                this->placeGang(job, occurrence, step, pool.workers, now);
+                this->placeGang(job, occurrence, step, pool.workers);
             else
-                this->placeStep(job, occurrence, step, pool, now);
+                this->placeStep(job, occurrence, step, pool);
         }
     }
 }
 
-void PlacementSystem::placeStep(JobRow& job, std::uint32_t occurrence, std::uint32_t step, Pool& pool, Instant now)
+void PlacementSystem::placeStep(JobRow& job, std::uint32_t occurrence, std::uint32_t step, Pool& pool)
 {
     const StepSpec& spec = job.record.spec.steps[step];
     StepRow& row = job.occurrences[occurrence].steps[step];
     if (!row.readyAt)
-        row.readyAt = now;
+        row.readyAt = this->roundAt;
     auto& tasks = row.tasks;
     for (std::uint32_t index = 0; index < tasks.size(); ++index) {
         if (tasks[index].phase != TaskPhase::Waiting)
@@ -189,18 +182,17 @@
         WorkerRow* worker = this->chooseInPool(job, name, pool);
         if (!worker)
             return;
-        this->begin(job, name, *worker, std::max(this->board.lowestRun, tasks[index].run + 1), now);
+        this->begin(job, name, *worker, std::max(this->board.lowestRun, tasks[index].run + 1));
         this->board.markUnrecorded(job);
     }
 }
 
-void PlacementSystem::placeGang(
-    JobRow& job, std::uint32_t occurrence, std::uint32_t step, const Workers& workers, Instant now)
+void PlacementSystem::placeGang(JobRow& job, std::uint32_t occurrence, std::uint32_t step, const Workers& workers)
 {
     const StepSpec& spec = job.record.spec.steps[step];
     auto& row = job.occurrences[occurrence].steps[step];
     if (row.waitingCount() != row.tasks.size()) {
-        this->stopMembers(row, TaskName { job.record.id, occurrence, step });
+        this->stopMembers(row, { job.record.id, occurrence, step });
         return;
     }
     if (spec.sameRack) {
@@ -208,15 +200,14 @@
         for (auto* worker : workers)
             racks[worker->facts.rack].push_back(worker);
         bool isPlaced = std::any_of(racks.begin(), racks.end(),
-            [&](const auto& rack) { return this->placeMembers(job, occurrence, step, rack.second, now); });
+            [&](const auto& rack) { return this->placeMembers(job, occurrence, step, rack.second); });
         if (isPlaced)
             return;
     }
-    this->placeMembers(job, occurrence, step, workers, now);
+    this->placeMembers(job, occurrence, step, workers);
 }
 
-bool PlacementSystem::placeMembers(
-    JobRow& job, std::uint32_t occurrence, std::uint32_t step, const Workers& workers, Instant now)
+bool PlacementSystem::placeMembers(JobRow& job, std::uint32_t occurrence, std::uint32_t step, const Workers& workers)
 {
     const StepSpec& spec = job.record.spec.steps[step];
     auto& row = job.occurrences[occurrence].steps[step];
@@ -240,31 +231,26 @@
             return false;
         }
         row.tasks[index].checkpoint = checkpoint;
-        this->begin(job, name, *worker, run, now);
+        this->begin(job, name, *worker, run);
     }
     this->board.markUnrecorded(job);
     return true;
 }
 
-void PlacementSystem::stopMembers(const StepRow& row, TaskName member)
+void PlacementSystem::stopMembers(StepRow& row, const TaskName& step)
 {
-    for (member.index = 0; member.index < row.tasks.size(); ++member.index) {
-        const TaskRow& task = row.tasks[member.index];
-        WorkerRow* worker = task.phase == TaskPhase::Active ? this->board.findWorker(task.worker) : nullptr;
-        auto found = worker ? worker->attempts.find(member) : std::map<TaskName, Attempt>::iterator();
-        if (!worker || found == worker->attempts.end())
-            continue;
-        if (found->second.mayBeSent())
-            found->second.phase = AttemptPhase::Stopping;
-        else if (found->second.phase == AttemptPhase::Planned)
-            this->board.releaseAttempt(*worker, member);
-    }
+    this->board.forEachAttempt(row, step, [this](WorkerRow& worker, Attempt& attempt) {
+        if (attempt.mayBeSent())
+            attempt.phase = AttemptPhase::Stopping;
+        else if (attempt.phase == AttemptPhase::Planned)
+            this->board.releaseAttempt(worker, TaskName(attempt.task));
+    });
 }
 
 WorkerRow* PlacementSystem::chooseInPool(const JobRow& job, const TaskName& task, Pool& pool) const
 {
     const StepSpec& step = job.record.spec.steps[task.step];
-    Demand needed = roomFor(step);
+    Demand needed = step.occupies();
     bool isTooMuch = std::any_of(
         pool.tooMuch.begin(), pool.tooMuch.end(), [&needed](const Demand& tooMuch) { return tooMuch.fitsIn(needed); });
     if (isTooMuch)
@@ -322,7 +308,7 @@
     if (queue == this->board.policies->queues.end() || !row.readyAt || this->roundAt - *row.readyAt >= longestRackWait)
         return false;
     bool isRackThere = std::any_of(workers.begin(), workers.end(), [&step](const WorkerRow* worker) {
-        return hasLabel(*worker, step.preferredRack) && roomFor(step).fitsIn(worker->facts.capacity);
+        return hasLabel(*worker, step.preferredRack) && step.occupies().fitsIn(worker->facts.capacity);
     });
     JobObjective objective(job, queue->second);
     auto longer = static_cast<std::int64_t>((this->farSlowdown - 1) * static_cast<double>(step.estimate.count()));
@@ -344,12 +330,12 @@
         && isWithin(use.accelerators, maximum.accelerators);
 }
 
-void PlacementSystem::begin(JobRow& job, const TaskName& task, WorkerRow& worker, std::uint32_t run, Instant now)
+void PlacementSystem::begin(JobRow& job, const TaskName& task, WorkerRow& worker, std::uint32_t run)
 {
-    Attempt& attempt = this->board.beginAttempt(worker, job, task, run, AttemptPhase::Planned, now);
+    Attempt& attempt = this->board.beginAttempt(worker, job, task, run, AttemptPhase::Planned, this->roundAt);
     const StepRow& step = job.occurrences[task.occurrence].steps[task.step];
     attempt.checkpoint = step.tasks[task.index].checkpoint;
-    if (const Ticket* ticket = step.advice.ticketFor(worker.facts.id, worker.facts.bornUnixMs, now))
+    if (const Ticket* ticket = step.advice.ticketFor(worker.facts.id, worker.facts.bornUnixMs, this->roundAt))
         attempt.ticket = ticket->text;
     this->orders.push_back({ worker.facts.id, task, run });
 }
--- a/modules/jobs/systems/PlacementSystem.h
+++ b/modules/jobs/systems/PlacementSystem.h
@@ -57,17 +57,17 @@
         std::vector<Demand> tooMuch;
     };
 
-    std::vector<Candidate> collect(std::int64_t nowUnixMs) const;
+    std::vector<Candidate> collect() const;
     /// Marks the candidates whose teams have more of the fleet than their weight among the teams that want any.
     void markShares(std::vector<Candidate>&) const;
     double weightOf(const TeamId&) const;
-    void placeJob(JobRow&, Pool&, Instant now, std::int64_t nowUnixMs);
-    void placeStep(JobRow&, std::uint32_t occurrence, std::uint32_t step, Pool&, Instant now);
-    void placeGang(JobRow&, std::uint32_t occurrence, std::uint32_t step, const Workers&, Instant now);
+    void placeJob(JobRow&, Pool&);
+    void placeStep(JobRow&, std::uint32_t occurrence, std::uint32_t step, Pool&);
+    void placeGang(JobRow&, std::uint32_t occurrence, std::uint32_t step, const Workers&);
     /// Plans all tasks of the step on these workers, or none. Returns whether it did.
-    bool placeMembers(JobRow&, std::uint32_t occurrence, std::uint32_t step, const Workers&, Instant now);
+    bool placeMembers(JobRow&, std::uint32_t occurrence, std::uint32_t step, const Workers&);
     /// Stops what is left of a gang that has lost members, since the others would only wait for them.
-    void stopMembers(const StepRow&, TaskName);
+    void stopMembers(StepRow&, const TaskName& step);
     /// Chooses among all of the pool's workers. Room only shrinks within a round, so what did not fit is not tried
     /// again.
     WorkerRow* chooseInPool(const JobRow&, const TaskName&, Pool&) const;
@@ -77,11 +77,11 @@
     /// runs elsewhere.
     bool waitsForItsRack(const JobRow&, const TaskName&, const Workers&) const;
     bool isWithinMaximum(const JobRow&, const Demand&) const;
-    void begin(JobRow&, const TaskName&, WorkerRow&, std::uint32_t run, Instant now);
+    void begin(JobRow&, const TaskName&, WorkerRow&, std::uint32_t run);
 
     JobBoard& board;
     std::vector<StartOrder> orders;
-    /// When the present round began.
+    /// When the present round began, and the time of day then.
     Instant roundAt;
     std::int64_t roundUnixMs = 0;
     double farSlowdown;
--- a/modules/jobs/systems/ReportSystem.cpp
+++ b/modules/jobs/systems/ReportSystem.cpp
@@ -159,9 +159,8 @@
     stray.confirmedAt = now;
     if (const StepSpec* step = this->board.findStep(running.task)) {
         stray.team = this->board.jobs.at(running.task.job).record.team;
-        stray.occupies = stray.charged = step->demand;
-        if (step->fills)
-            stray.occupies.cpuMillis = 0;
+        stray.charged = step->demand;
+        stray.occupies = step->occupies();
         worker.occupied += stray.occupies;
         this->board.usage[stray.team] += stray.charged;
     }
