Share the parts that both daemons and all clients of the platform had for themselves

No behaviour changes but one message: a settings file of the platform's daemon that is too long is told in the words of greengaged's.

OpenRequests (loop) is the table of requests that are answered later, which AdminServer and IngressServer both kept; HttpBuffers moves from gateway to loop, where IngressServer and HttpExchange call it instead of copies. readSettingsText and IniFile::sectionOrEmpty serve both settings parsers, and SettingsWatch, which read files without the limit.

--- a/modules/config/ini/IniFile.h
+++ b/modules/config/ini/IniFile.h
@@ -11,6 +11,9 @@
 struct IniFile {
     std::vector<IniSection> sections;
     ConfigErrors errors;
+
+    /// The section of that name. If it is absent, an empty one without a line, so that its missing keys are reported.
+    IniSection sectionOrEmpty(std::string_view name) const;
 };
 
 } // namespace Greengage
--- a/modules/config/settings/SettingsParser.cpp
+++ b/modules/config/settings/SettingsParser.cpp
@@ -2,10 +2,10 @@
 
 #include <config/ini/IniParser.h>
 #include <config/ini/SectionReader.h>
+#include <config/ini/SettingsText.h>
 
 #include <algorithm>
 #include <array>
-#include <fstream>
 #include <optional>
 #include <spdlog/fmt/fmt.h>
 
@@ -91,26 +91,6 @@
     }
 }
 
-/// The section of that name. If it is absent, an empty one without a line, so that its missing keys are reported.
-IniSection findSection(const IniFile& file, std::string_view name)
-{
-    auto found = std::ranges::find(file.sections, name, &IniSection::header);
-    return found == file.sections.end() ? IniSection { std::string(name), 0, {} } : *found;
-}
-
-std::optional<std::string> readFile(const std::string& path, std::size_t maxBytes)
-{
-    std::ifstream stream(path, std::ios::binary);
-    std::string text(maxBytes + 1, '\0');
-    if (!stream || stream.peek() == std::ifstream::traits_type::eof())
-        return std::nullopt;
-    stream.read(text.data(), static_cast<std::streamsize>(text.size()));
-    text.resize(static_cast<std::size_t>(stream.gcount()));
-    return text;
-}
-
-ConfigErrors errorOfFile(std::string message) { return { { { {}, {}, 0, std::move(message) } } }; }
-
 } // namespace
 
 Result<DaemonSettings, ConfigErrors> SettingsParser::parse(std::string_view text) const
@@ -124,7 +104,7 @@
     checkSections(file, errors);
     DaemonSettings settings;
     for (std::size_t index = 0; index < readers.size(); ++index) {
-        auto section = findSection(file, sectionNames[index]);
+        auto section = file.sectionOrEmpty(sectionNames[index]);
         SectionReader reader(section, errors);
         readers[index](reader, settings);
         reader.finish();
@@ -137,12 +117,8 @@
 
 Result<DaemonSettings, ConfigErrors> SettingsParser::parseFile(const std::string& path) const
 {
-    auto text = readFile(path, SettingsParser::maxFileBytes);
-    if (!text)
-        return errorOfFile("the file cannot be read or is empty; name a settings file");
-    if (text->size() > SettingsParser::maxFileBytes)
-        return errorOfFile(fmt::format("the file is larger than {} bytes", SettingsParser::maxFileBytes));
-    return this->parse(*text);
+    BOOST_OUTCOME_TRY(text, readSettingsText(path));
+    return this->parse(text);
 }
 
 } // namespace Greengage
--- a/modules/config/settings/SettingsParser.h
+++ b/modules/config/settings/SettingsParser.h
@@ -15,10 +15,9 @@
 public:
     Result<DaemonSettings, ConfigErrors> parse(std::string_view text) const;
 
-    /// Reads and parses a file. A file that cannot be read, or is larger than `maxFileBytes`, is an error of line 0.
+    /// Reads and parses a file. A file that cannot be read, or is larger than `maxSettingsBytes`, is an error of line
+    /// 0.
     Result<DaemonSettings, ConfigErrors> parseFile(const std::string& path) const;
-
-    static constexpr std::size_t maxFileBytes = 64 * 1024;
 };
 
 } // namespace Greengage
--- a/modules/gateway/admin/AdminServer.cpp
+++ b/modules/gateway/admin/AdminServer.cpp
@@ -1,6 +1,6 @@
 #include <gateway/admin/AdminServer.h>
 
-#include <gateway/http/HttpBuffers.h>
+#include <loop/http/HttpBuffers.h>
 
 #include <cerrno>
 #include <cstring>
@@ -36,12 +36,7 @@
 {
 }
 
-AdminServer::~AdminServer()
-{
-    *this->self = nullptr;
-    for (auto& [id, request] : this->open)
-        evhttp_connection_set_closecb(evhttp_request_get_connection(request), nullptr, nullptr);
-}
+AdminServer::~AdminServer() { *this->self = nullptr; }
 
 Result<void, GatewayError> AdminServer::listen(const std::string& address, std::uint16_t port)
 {
@@ -74,32 +69,17 @@
     const char* path = uri ? evhttp_uri_get_path(uri) : nullptr;
     AdminRequest parsed { evhttp_request_get_command(&request) == EVHTTP_REQ_POST, path ? path : "",
         takeBytes(*evhttp_request_get_input_buffer(&request)) };
-    std::uint64_t id = this->nextRequest++;
-    this->open[id] = &request;
-    evhttp_connection_set_closecb(
-        connection,
-        [](evhttp_connection* closed, void* server) { static_cast<AdminServer*>(server)->handleClosed(closed); }, this);
+    std::uint64_t id = this->open.add(request);
     this->handlers.handle(parsed, [owner = this->self, id](const AdminResponse& response) {
         if (*owner)
             (*owner)->respond(id, response);
     });
 }
 
-void AdminServer::handleClosed(evhttp_connection* connection)
-{
-    std::erase_if(this->open,
-        [connection](const auto& entry) { return evhttp_request_get_connection(entry.second) == connection; });
-}
-
 void AdminServer::respond(std::uint64_t id, const AdminResponse& response)
 {
-    auto found = this->open.find(id);
-    if (found == this->open.end())
-        return;
-    evhttp_request& request = *found->second;
-    this->open.erase(found);
-    evhttp_connection_set_closecb(evhttp_request_get_connection(&request), nullptr, nullptr);
-    this->send(request, response);
+    if (evhttp_request* request = this->open.take(id))
+        this->send(*request, response);
 }
 
 void AdminServer::send(evhttp_request& request, const AdminResponse& response)
--- a/modules/gateway/admin/AdminServer.h
+++ b/modules/gateway/admin/AdminServer.h
@@ -5,15 +5,14 @@
 #include <gateway/admin/AdminResponse.h>
 #include <gateway/callers/ConnectionLimiter.h>
 #include <gateway/http/GatewayError.h>
+#include <loop/http/OpenRequests.h>
 
 #include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
-#include <unordered_map>
 
 struct event_base;
-struct evhttp_connection;
 struct evhttp_request;
 
 namespace Greengage {
@@ -38,7 +37,7 @@
     AdminServer& operator=(const AdminServer&) = delete;
 
     /// Whether no operator waits for an answer.
-    bool isIdle() const { return this->open.empty(); }
+    bool isIdle() const { return this->open.size() == 0; }
 
     Result<void, GatewayError> listen(const std::string& address, std::uint16_t port);
 
@@ -46,14 +45,12 @@
     void handleRequest(evhttp_request&);
     void respond(std::uint64_t id, const AdminResponse&);
     void send(evhttp_request&, const AdminResponse&);
-    void handleClosed(evhttp_connection*);
 
     event_base& base;
     Handlers handlers;
     ConnectionLimiter limiter;
     EventPointer<evhttp> server;
-    std::uint64_t nextRequest = 1;
-    std::unordered_map<std::uint64_t, evhttp_request*> open;
+    OpenRequests open;
     /// Lets responders that outlive the server do nothing.
     std::shared_ptr<AdminServer*> self;
 };
--- a/modules/gateway/callers/CallerServer.cpp
+++ b/modules/gateway/callers/CallerServer.cpp
@@ -6,7 +6,7 @@
 #include <fleet/requests/messages/RequestArrived.h>
 #include <gateway/callers/OutcomeResponse.h>
 #include <gateway/callers/RequestParser.h>
-#include <gateway/http/HttpBuffers.h>
+#include <loop/http/HttpBuffers.h>
 
 #include <cerrno>
 #include <cstring>
--- a/modules/gateway/callers/RequestParser.cpp
+++ b/modules/gateway/callers/RequestParser.cpp
@@ -1,7 +1,7 @@
 #include <gateway/callers/RequestParser.h>
 
 #include <gateway/http/HeaderNames.h>
-#include <gateway/http/HttpBuffers.h>
+#include <loop/http/HttpBuffers.h>
 
 #include <charconv>
 #include <string_view>
--- a/modules/gateway/endpoints/EndpointConnection.cpp
+++ b/modules/gateway/endpoints/EndpointConnection.cpp
@@ -2,7 +2,7 @@
 
 #include <core/checks/Assertion.h>
 #include <gateway/http/HeaderNames.h>
-#include <gateway/http/HttpBuffers.h>
+#include <loop/http/HttpBuffers.h>
 
 #include <algorithm>
 #include <charconv>
--- a/modules/gateway/http/HttpBuffers.cpp
+++ b/modules/loop/http/HttpBuffers.cpp
@@ -1,4 +1,4 @@
-#include <gateway/http/HttpBuffers.h>
+#include <loop/http/HttpBuffers.h>
 
 #include <event2/buffer.h>
 #include <event2/http.h>
--- /dev/null
+++ b/modules/loop/http/OpenRequests.cpp
@@ -0,0 +1,40 @@
+#include <loop/http/OpenRequests.h>
+
+#include <event2/http.h>
+
+namespace Greengage {
+
+OpenRequests::~OpenRequests()
+{
+    for (auto& [id, request] : this->requests)
+        evhttp_connection_set_closecb(evhttp_request_get_connection(request), nullptr, nullptr);
+}
+
+std::uint64_t OpenRequests::add(evhttp_request& request)
+{
+    std::uint64_t id = this->nextId++;
+    this->requests[id] = &request;
+    evhttp_connection_set_closecb(
+        evhttp_request_get_connection(&request),
+        [](evhttp_connection* closed, void* table) { static_cast<OpenRequests*>(table)->dropOf(closed); }, this);
+    return id;
+}
+
+evhttp_request* OpenRequests::take(std::uint64_t id)
+{
+    auto found = this->requests.find(id);
+    if (found == this->requests.end())
+        return nullptr;
+    evhttp_request* request = found->second;
+    this->requests.erase(found);
+    evhttp_connection_set_closecb(evhttp_request_get_connection(request), nullptr, nullptr);
+    return request;
+}
+
+void OpenRequests::dropOf(evhttp_connection* connection)
+{
+    std::erase_if(this->requests,
+        [connection](const auto& entry) { return evhttp_request_get_connection(entry.second) == connection; });
+}
+
+} // namespace Greengage
--- a/modules/store/http/HttpExchange.cpp
+++ b/modules/store/http/HttpExchange.cpp
@@ -1,6 +1,7 @@
 #include <store/http/HttpExchange.h>
 
 #include <core/checks/Assertion.h>
+#include <loop/http/HttpBuffers.h>
 #include <store/http/HttpConnection.h>
 
 #include <algorithm>
@@ -21,14 +22,6 @@
     return { seconds.count(), std::chrono::duration_cast<Microseconds>(span - seconds).count() };
 }
 
-std::string takeBody(evhttp_request* request)
-{
-    auto* buffer = evhttp_request_get_input_buffer(request);
-    std::string body(evbuffer_get_length(buffer), '\0');
-    evbuffer_remove(buffer, body.data(), body.size());
-    return body;
-}
-
 HttpAnswer toAnswer(evhttp_request* request)
 {
     HttpAnswer answer;
@@ -36,7 +29,7 @@
     auto* fields = evhttp_request_get_input_headers(request);
     for (auto* field = fields->tqh_first; field; field = field->next.tqe_next)
         answer.headers.push_back({ field->key, field->value });
-    answer.body = takeBody(request);
+    answer.body = takeBytes(*evhttp_request_get_input_buffer(request));
     return answer;
 }
 
--- a/modules/store/store.h
+++ b/modules/store/store.h
@@ -1,5 +1,5 @@
 // Purpose: the client of the platform's key-value store and of its list of VMs, on an HTTP client for the event loop.
-// Dependencies: core, libevent, jsoncpp.
+// Dependencies: core, loop, libevent, jsoncpp.
 #pragma once
 
 #include <store/http/HttpAnswer.h>
