--- a/tests/daemon/FleetFixture.cpp
+++ b/tests/daemon/FleetFixture.cpp
@@ -54,18 +54,18 @@
     char pattern[] = "/tmp/greengage-daemon-XXXXXX";
     this->folder = mkdtemp(pattern);
     this->daemons.resize(10);
-    this->store = std::make_unique<ChildProcess>(program("standin-store"),
-        std::vector<std::string> { "--port", std::to_string(this->basePort + 3), "--control-port",
-            std::to_string(this->basePort + 4), "--history", this->path("platform-history") },
+    this->store = std::make_unique<ChildProcess>(
+        std::vector<std::string> { program("standin-store"), "--port", std::to_string(this->basePort + 3),
+            "--control-port", std::to_string(this->basePort + 4), "--history", this->path("platform-history") },
         this->path("store.log"));
-    std::vector<std::string> arguments { "--control-port", std::to_string(this->basePort + 6), "--history",
-        this->path("history") };
+    std::vector<std::string> command { program("standin-minion"), "--control-port", std::to_string(this->basePort + 6),
+        "--history", this->path("history") };
     for (int number = 0; number < endpointCount; ++number) {
-        arguments.push_back("--endpoint");
-        arguments.push_back(
+        command.push_back("--endpoint");
+        command.push_back(
             "vm" + std::to_string(number) + "=" + endpointAddress(number) + ":" + std::to_string(this->basePort + 5));
     }
-    this->minion = std::make_unique<ChildProcess>(program("standin-minion"), arguments, this->path("minion.log"));
+    this->minion = std::make_unique<ChildProcess>(command, this->path("minion.log"));
     awaitTrue("store and endpoints listen", [this] {
         return sendHttpRequest(storeAddress, this->basePort + 4, "GET", "/control/calls").status == 200
             && sendHttpRequest(storeAddress, this->basePort + 6, "GET", "/control/state").status == 200;
@@ -116,8 +116,8 @@
 
 void FleetFixture::startDaemon(int number)
 {
-    this->daemons.at(static_cast<std::size_t>(number)) = std::make_unique<ChildProcess>(program("greengaged"),
-        std::vector<std::string> { "--settings", this->writeSettings(number) },
+    this->daemons.at(static_cast<std::size_t>(number)) = std::make_unique<ChildProcess>(
+        std::vector<std::string> { program("greengaged"), "--settings", this->writeSettings(number) },
         this->path("daemon-" + std::to_string(number) + ".log"));
     awaitTrue("daemon listens", [this, number] {
         return sendHttpRequest(this->daemonAddress(number), this->callersPort(), "GET", "/healthz").status != 0;
--- a/tests/daemon/WaveTests.cpp
+++ b/tests/daemon/WaveTests.cpp
@@ -55,7 +55,7 @@
     BOOST_REQUIRE(this->wave(1, "kernel/start").status == 200);
     FleetFixture::awaitTrue("the wave has begun", [this] { return this->statusHas(2, R"("state":"running")"); });
     this->daemon(1).signal(SIGKILL);
-    BOOST_REQUIRE(this->daemon(1).awaitExit().has_value());
+    BOOST_REQUIRE(this->daemon(1).wait().has_value());
     this->startDaemon(1);
     FleetFixture::awaitTrue(
         "the wave is done", [this] { return this->statusHas(2, R"("state":"done","stuck":[],"wave":"kernel")"); });
--- a/tests/daemon/WholePathTests.cpp
+++ b/tests/daemon/WholePathTests.cpp
@@ -74,7 +74,7 @@
     caller.join();
     BOOST_TEST(reply.status == 200, reply.body);
     BOOST_TEST(reply.body.size() == 64U);
-    BOOST_TEST((this->daemon(1).awaitExit() == 0));
+    BOOST_TEST((this->daemon(1).wait() == 0));
     BOOST_TEST(this->daemon(1).output().find("event=stopped") != std::string::npos);
     FleetFixture::awaitTrue("the other daemon has removed the member",
         [this] { return this->daemon(2).output().find("event=member_left daemon=d1") != std::string::npos; });
@@ -105,7 +105,7 @@
     });
     for (int number : { 1, 2 }) {
         this->daemon(number).signal(SIGTERM);
-        BOOST_TEST((this->daemon(number).awaitExit() == 0));
+        BOOST_TEST((this->daemon(number).wait() == 0));
         this->startDaemon(number);
         this->awaitServing(number);
     }
@@ -142,7 +142,7 @@
     outage["outage"] = "refuse";
     this->control(outage);
     this->daemon(2).signal(SIGKILL);
-    BOOST_REQUIRE(this->daemon(2).awaitExit().has_value());
+    BOOST_REQUIRE(this->daemon(2).wait().has_value());
     this->startDaemon(2);
     this->awaitHealthy(2);
     BOOST_TEST(this->daemon(2).output().find("event=document_applied revision=1 source=peer") != std::string::npos);
@@ -155,15 +155,15 @@
 BOOST_AUTO_TEST_CASE(invalidSettingsAreRejectedWithTheName)
 {
 
-    ChildProcess check(BINARY_ROOT "/bin/greengaged",
-        { "--check", "--settings", SOURCE_ROOT "/examples/brno/document.ini" },
+    ChildProcess check(
+        { BINARY_ROOT "/bin/greengaged", "--check", "--settings", SOURCE_ROOT "/examples/brno/document.ini" },
         "/tmp/greengage-check-" + std::to_string(getpid()) + ".log");
-    BOOST_TEST((check.awaitExit() == 2));
+    BOOST_TEST((check.wait() == 2));
     BOOST_TEST(check.output().find("unknown section") != std::string::npos, check.output());
-    ChildProcess good(BINARY_ROOT "/bin/greengaged",
-        { "--check", "--settings", SOURCE_ROOT "/examples/brno/daemon-1.ini" },
+    ChildProcess good(
+        { BINARY_ROOT "/bin/greengaged", "--check", "--settings", SOURCE_ROOT "/examples/brno/daemon-1.ini" },
         "/tmp/greengage-good-" + std::to_string(getpid()) + ".log");
-    BOOST_TEST((good.awaitExit() == 0));
+    BOOST_TEST((good.wait() == 0));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/fuzz/FuzzTests.cpp
+++ b/tests/fuzz/FuzzTests.cpp
@@ -1,5 +1,5 @@
 #include <boost/test/unit_test.hpp>
-#include <tests/site/ChildProcess.h>
+#include <support/ChildProcess.h>
 
 #include <cstdint>
 #include <filesystem>
--- a/tests/proofs-config/CtlRun.h
+++ b/tests/proofs-config/CtlRun.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <tests/site/ChildProcess.h>
+#include <support/ChildProcess.h>
 
 #include <memory>
 #include <optional>
--- a/tests/site/Site.h
+++ b/tests/site/Site.h
@@ -3,8 +3,8 @@
 #include <checker/History.h>
 #include <checker/HistoryVerdict.h>
 #include <standins/common/HistoryFile.h>
+#include <support/ChildProcess.h>
 #include <tests/site/BlockingHttpClient.h>
-#include <tests/site/ChildProcess.h>
 #include <tests/site/SiteDocument.h>
 #include <tests/site/SiteLayout.h>
 
--- a/tests/site/tests/SiteTests.cpp
+++ b/tests/site/tests/SiteTests.cpp
@@ -1,9 +1,14 @@
 #include <boost/test/unit_test.hpp>
 #include <config/document/DocumentParser.h>
 #include <config/settings/SettingsParser.h>
+#include <core/time/Deadline.h>
 #include <csignal>
+#include <fstream>
+#include <sys/wait.h>
 #include <tests/site/Site.h>
 #include <tests/site/SiteSettings.h>
+#include <thread>
+#include <unistd.h>
 
 using namespace Greengage;
 
@@ -39,6 +44,35 @@
     BOOST_TEST(kill(id, 0) != 0);
 }
 
+/// Guards against daemons that stay, perhaps stopped, when a signal ends the test program.
+BOOST_AUTO_TEST_CASE(childrenEndWithTheProcessThatStartedThem)
+{
+    int ends[2];
+    BOOST_REQUIRE(pipe(ends) == 0);
+    pid_t starter = fork();
+    if (starter == 0) {
+        ChildProcess child({ "/bin/sleep", "600" }, outputPath());
+        child.signal(SIGSTOP);
+        pid_t id = child.id();
+        bool isWritten = write(ends[1], &id, sizeof(id)) == sizeof(id);
+        kill(getpid(), isWritten ? SIGPIPE : SIGKILL);
+    }
+    pid_t id = 0;
+    BOOST_REQUIRE(read(ends[0], &id, sizeof(id)) == static_cast<ssize_t>(sizeof(id)));
+    waitpid(starter, nullptr, 0);
+    auto deadline = Deadline::after(BootClock::now(), endLimit);
+    auto isAlive = [id] {
+        std::ifstream state("/proc/" + std::to_string(id) + "/stat");
+        std::string number;
+        std::string name;
+        std::string phase;
+        return state >> number >> name >> phase && phase != "Z" && phase != "X";
+    };
+    while (isAlive() && !deadline.hasPassed(BootClock::now()))
+        std::this_thread::sleep_for(Milliseconds(5));
+    BOOST_TEST(!isAlive());
+}
+
 BOOST_AUTO_TEST_CASE(sitesDoNotSharePorts)
 {
     PortBlock first;
--- a/tests/support/ChildProcess.cpp
+++ b/tests/support/ChildProcess.cpp
@@ -1,12 +1,18 @@
 #include <support/ChildProcess.h>
 
-#include <chrono>
+#include <core/time/Deadline.h>
+
+#include <array>
+#include <cerrno>
 #include <csignal>
+#include <cstdio>
+#include <cstdlib>
 #include <fcntl.h>
 #include <fstream>
 #include <iterator>
-#include <spawn.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
+#include <system_error>
 #include <thread>
 #include <unistd.h>
 
@@ -14,64 +20,82 @@
 
 namespace {
 
-constexpr auto hangTimeout = std::chrono::seconds(60);
-constexpr auto pollInterval = std::chrono::milliseconds(5);
-constexpr int signalExitBase = 128;
+constexpr Milliseconds pollInterval { 5 };
+constexpr int signalStatusBase = 128;
+constexpr int cannotExecuteStatus = 127;
+
+[[noreturn]] void runProgram(std::vector<std::string>& command, const std::string& outputPath, pid_t starter)
+{
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
+    // The kernel sends no signal for a starter that has ended already.
+    if (getppid() != starter)
+        _exit(cannotExecuteStatus);
+    int output = open(outputPath.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+    dup2(output, STDOUT_FILENO);
+    dup2(output, STDERR_FILENO);
+    std::vector<char*> words;
+    for (auto& word : command)
+        words.push_back(word.data());
+    words.push_back(nullptr);
+    execv(words[0], words.data());
+    std::perror(words[0]);
+    _exit(cannotExecuteStatus);
+}
 
 } // namespace
 
-ChildProcess::ChildProcess(
-    const std::string& program, const std::vector<std::string>& arguments, const std::string& outputFile)
-    : outputFile(outputFile)
+ChildProcess::ChildProcess(std::vector<std::string> command, const std::string& outputPath)
+    : outputPath(outputPath)
 {
-    std::vector<char*> words { const_cast<char*>(program.c_str()) };
-    for (const auto& argument : arguments)
-        words.push_back(const_cast<char*>(argument.c_str()));
-    words.push_back(nullptr);
-    posix_spawn_file_actions_t actions;
-    posix_spawn_file_actions_init(&actions);
-    posix_spawn_file_actions_addopen(
-        &actions, STDERR_FILENO, outputFile.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_APPEND, 0600);
-    posix_spawn_file_actions_adddup2(&actions, STDERR_FILENO, STDOUT_FILENO);
-    if (posix_spawn(&this->process, program.c_str(), &actions, nullptr, words.data(), environ) != 0)
-        this->process = -1;
-    posix_spawn_file_actions_destroy(&actions);
+    // The pipe is closed once the program has been loaded. A signal sent before that could stop the child before it
+    // has arranged to end with its starter.
+    std::array<int, 2> loading {};
+    if (pipe2(loading.data(), O_CLOEXEC) != 0)
+        throw std::system_error(errno, std::generic_category(), "no pipe for a child process");
+    pid_t starter = getpid();
+    this->processId = fork();
+    if (this->processId == 0)
+        runProgram(command, outputPath, starter);
+    close(loading[1]);
+    char unused = 0;
+    while (read(loading[0], &unused, sizeof(unused)) < 0 && errno == EINTR) { }
+    close(loading[0]);
+    if (this->processId < 0)
+        throw std::system_error(errno, std::generic_category(), "no child process for " + command[0]);
 }
 
 ChildProcess::~ChildProcess()
 {
-    if (this->process <= 0 || this->exitCode())
-        return;
-    kill(this->process, SIGCONT);
-    kill(this->process, SIGKILL);
-    waitpid(this->process, nullptr, 0);
+    this->signal(SIGKILL);
+    if (!this->status)
+        waitpid(this->processId, nullptr, 0);
 }
 
-void ChildProcess::signal(int number) const
+void ChildProcess::signal(int number)
 {
-    if (this->process > 0 && !this->code)
-        kill(this->process, number);
+    if (!this->exitStatus())
+        kill(this->processId, number);
 }
 
-std::optional<int> ChildProcess::exitCode()
+std::optional<int> ChildProcess::exitStatus()
 {
-    int status = 0;
-    if (this->process > 0 && !this->code && waitpid(this->process, &status, WNOHANG) == this->process)
-        this->code = WIFEXITED(status) ? WEXITSTATUS(status) : signalExitBase + WTERMSIG(status);
-    return this->code;
+    int state = 0;
+    if (!this->status && waitpid(this->processId, &state, WNOHANG) == this->processId)
+        this->status = WIFEXITED(state) ? WEXITSTATUS(state) : signalStatusBase + WTERMSIG(state);
+    return this->status;
 }
 
-std::optional<int> ChildProcess::awaitExit()
+std::optional<int> ChildProcess::wait(Milliseconds limit)
 {
-    auto deadline = std::chrono::steady_clock::now() + hangTimeout;
-    while (!this->exitCode() && std::chrono::steady_clock::now() < deadline)
+    auto deadline = Deadline::after(BootClock::now(), limit);
+    while (!this->exitStatus() && !deadline.hasPassed(BootClock::now()))
         std::this_thread::sleep_for(pollInterval);
-    return this->code;
+    return this->status;
 }
 
 std::string ChildProcess::output() const
 {
-    std::ifstream stream(this->outputFile);
+    std::ifstream stream(this->outputPath);
     return { std::istreambuf_iterator<char>(stream), {} };
 }
 
--- a/tests/support/ChildProcess.h
+++ b/tests/support/ChildProcess.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <core/time/Instant.h>
+
 #include <optional>
 #include <string>
 #include <sys/types.h>
@@ -7,32 +9,38 @@
 
 namespace Greengage {
 
-/// A program started by a test, with its output in a file. The destructor kills it if it is still running.
+/// A program started by a test. The destructor kills it; the kernel kills it if the test process ends first.
 class ChildProcess {
 public:
-    ChildProcess(const std::string& program, const std::vector<std::string>& arguments, const std::string& outputFile);
+    /// The first element of the command is the path of the program. Standard output and standard error are appended to
+    /// the file.
+    ChildProcess(std::vector<std::string> command, const std::string& outputPath);
     ~ChildProcess();
 
     ChildProcess(const ChildProcess&) = delete;
     ChildProcess& operator=(const ChildProcess&) = delete;
 
-    void signal(int number) const;
+    pid_t id() const { return this->processId; }
 
-    /// The exit code, or 128 plus the signal's number if a signal ended the program; nothing while it is running.
-    std::optional<int> exitCode();
+    /// Sends a signal unless the process has ended.
+    void signal(int number);
 
-    /// Waits until the program ends. Gives up after 60 seconds, which only a hanging program takes.
-    std::optional<int> awaitExit();
+    /// The exit status, or 128 plus the signal's number if a signal ended the process; nothing while it is running.
+    std::optional<int> exitStatus();
 
-    pid_t id() const { return this->process; }
+    /// Waits until the process ends and returns its exit status; nothing if it has not ended within the limit.
+    std::optional<int> wait(Milliseconds limit = hangTimeout);
 
     /// Everything that the program has printed so far.
     std::string output() const;
 
 private:
-    std::string outputFile;
-    pid_t process = -1;
-    std::optional<int> code;
+    /// Only a program that hangs takes this long to end.
+    static constexpr Milliseconds hangTimeout { 60'000 };
+
+    std::string outputPath;
+    pid_t processId = -1;
+    std::optional<int> status;
 };
 
 } // namespace Greengage
