fleet: a new leader orders VMs at once, except those that the last one may have ordered

Change: a leader stores which VMs it is about to order before it orders them (gg/fleet/orders, under the leader key and the list's own revision); its successor reads the list and spares only those VMs. Waves keep the pause, since tasks that the last leader stopped may still be reported as running. A VM whose order failed, or that is spared, now counts for its pool: it was taken for absent, so the pool grew further.

--- a/modules/coordinator/fleet/FleetController.h
+++ b/modules/coordinator/fleet/FleetController.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <coordinator/fleet/VmOrderLog.h>
 #include <coordinator/fleet/VmService.h>
 #include <coordinator/fleet/WaveRecord.h>
 #include <coordinator/leadership/Leadership.h>
@@ -24,14 +25,17 @@
     /// Adds to a commit what the operators see of a wave: whether it is completed.
     using Publish = std::function<void(std::int64_t wave, bool isCompleted, KvCommit&)>;
 
+    /// `unfencedOrdersFrom` is when orders of earlier leaders to VMs can no longer take effect, and `effectPeriod` how
+    /// long after it was sent an order can.
     FleetController(Store& store, Vms& vmService, Leadership<Store>& leadership, JobTables& tables,
-        Deadline unfencedOrdersFrom, Publish publish)
+        Deadline unfencedOrdersFrom, Milliseconds effectPeriod, Publish publish)
         : store(store)
         , vmService(vmService)
         , leadership(leadership)
         , tables(tables)
         , system(tables)
         , sizing(tables)
+        , orderLog(store, leadership, leadership.currentTerm().epoch, unfencedOrdersFrom, effectPeriod)
         , unfencedOrdersFrom(unfencedOrdersFrom)
         , publish(std::move(publish))
         , alive(std::make_shared<bool>(true))
@@ -44,7 +48,11 @@
     FleetController& operator=(const FleetController&) = delete;
 
     /// Ignores all answers that arrive from now on.
-    void close() { *this->alive = false; }
+    void close()
+    {
+        *this->alive = false;
+        this->orderLog.close();
+    }
 
     void tick(const std::map<std::int64_t, MaintenanceWave>& waves, Instant now)
     {
@@ -57,13 +65,13 @@
         if (!this->leadership.maySendUnfencedOrders(now))
             return;
         // Until then, tasks that an earlier leader has ordered to stop may still be reported as running.
-        if (!this->unfencedOrdersFrom.hasPassed(now))
-            return;
-        this->tickWaves(waves, now);
+        if (this->unfencedOrdersFrom.hasPassed(now))
+            this->tickWaves(waves, now);
         if (this->nextSizing.hasPassed(now)) {
             this->nextSizing = Deadline::after(now, sizingPeriod);
             this->sizePools(now);
         }
+        this->orderLog.flush(now);
     }
 
     /// Records a new job of a pool, from which the demand for VMs is estimated.
@@ -102,11 +110,13 @@
         }
         for (const auto& [vm, until] : this->possiblyDown)
             busy.insert(vm);
-        for (const auto& [vm, until] : this->retryFrom) {
-            if (!until.hasPassed(now))
-                busy.insert(vm);
+        std::set<VmId> pinned;
+        for (const auto& [vm, info] : this->fleet) {
+            auto retry = this->retryFrom.find(vm);
+            if ((retry != this->retryFrom.end() && !retry->second.hasPassed(now)) || !this->orderLog.mayOrder(vm, now))
+                pinned.insert(vm);
         }
-        for (const auto& order : this->sizing.advance(this->fleet, incoming, busy, now, unixMilliseconds()))
+        for (const auto& order : this->sizing.advance(this->fleet, incoming, busy, pinned, now, unixMilliseconds()))
             this->move(order, now);
     }
 
@@ -119,6 +129,18 @@
                 .add("machine", order.vm.string())
                 .add("from", order.from.string())
                 .add("to", order.to.string()));
+        this->orderLog.record(order.vm, [this, alive = this->alive, order](bool mayBeSent) {
+            if (!*alive)
+                return;
+            if (mayBeSent && this->leadership.maySendUnfencedOrders(BootClock::now()))
+                this->sendMove(order);
+            else
+                this->handleMoveOutcome(order, VmOrderOutcome::Unavailable);
+        });
+    }
+
+    void sendMove(const MoveOrder& order)
+    {
         this->vmService.move(order.vm, order.to, this->leadership.currentTerm().fencingToken,
             [this, alive = this->alive, order](VmOrderOutcome outcome) {
                 if (*alive)
@@ -265,7 +287,7 @@
         }
         this->isDraining = true;
         for (const auto& vm : this->system.advance(current, this->fleet, this->possiblyDown, now)) {
-            if (!this->pendingOrders.contains(vm) && !this->arrivingVms.contains(vm)
+            if (!this->pendingOrders.contains(vm) && !this->arrivingVms.contains(vm) && this->orderLog.mayOrder(vm, now)
                 && (!this->retryFrom.contains(vm) || this->retryFrom.at(vm).hasPassed(now)))
                 this->orderMaintenance(wave.number, vm);
         }
@@ -277,6 +299,18 @@
         // Counts as down from now on, since the answer may be lost.
         this->possiblyDown[vm] = Deadline::never();
         writeLog(LogLevel::Info, LogLine("maintenance_ordered").add("wave", wave).add("machine", vm.string()));
+        this->orderLog.record(vm, [this, alive = this->alive, wave, vm](bool mayBeSent) {
+            if (!*alive)
+                return;
+            if (mayBeSent && this->leadership.maySendUnfencedOrders(BootClock::now()))
+                this->sendMaintenance(wave, vm);
+            else
+                this->handleMaintenanceOutcome(wave, vm, VmOrderOutcome::Unavailable);
+        });
+    }
+
+    void sendMaintenance(std::int64_t wave, const VmId& vm)
+    {
         this->vmService.beginMaintenance(vm, wave, this->leadership.currentTerm().fencingToken,
             [this, alive = this->alive, wave, vm](VmOrderOutcome outcome) {
                 if (*alive)
@@ -314,6 +348,7 @@
     JobTables& tables;
     MaintenanceSystem system;
     PoolSizing sizing;
+    VmOrderLog<Store> orderLog;
     /// When unfenced orders of an earlier leader can no longer take effect; none are sent before.
     Deadline unfencedOrdersFrom;
     Publish publish;
--- a/modules/coordinator/leadership/StoreKeys.h
+++ b/modules/coordinator/leadership/StoreKeys.h
@@ -19,6 +19,8 @@
     static constexpr const char* sizes = "gg/lead/size/";
     /// The worker roster: workers that may run tasks, whether the directory lists them or not.
     static constexpr const char* workerRoster = "gg/crew";
+    /// VMs that the leader may have sent orders to lately.
+    static constexpr const char* vmOrders = "gg/fleet/orders";
     /// Prefix of the progress of maintenance waves.
     static constexpr const char* waves = "gg/wave/";
     /// Prefix of open jobs, with their cancellation and progress below them.
--- a/modules/coordinator/placing/Coordinator.h
+++ b/modules/coordinator/placing/Coordinator.h
@@ -166,7 +166,8 @@
             , workerRoster(owner.store, owner.leadership, tables)
             , cleaner(owner.store, owner.leadership, owner.limits.endedJobRetention, BootClock::now())
             , fleet(owner.store, owner.vmService, owner.leadership, tables,
-                  Deadline::after(BootClock::now(), owner.limits.unfencedOrderDelay), owner.publishWave)
+                  Deadline::after(BootClock::now(), owner.limits.unfencedOrderDelay),
+                  owner.limits.unfencedOrderDelay + Leadership<Store>::validity, owner.publishWave)
             , leases(owner.link, tables, term.fencingToken, owner.limits.leaseDuration,
                   { [this] { return this->isComplete(); }, [&owner] { owner.scheduleTick(); },
                       [&owner] { owner.handleFenced(); } })
--- /dev/null
+++ b/modules/coordinator/tests/FakeFleet.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include <coordinator/fleet/VmService.h>
+#include <coordinator/tests/After.h>
+#include <core/time/Deadline.h>
+
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace Greengage {
+
+/// VMs that obey every order at once, and the orders that they were sent. Several daemons share them, each through a
+/// FakeFleetLink.
+struct FakeFleet {
+    struct Order {
+        VmId vm;
+        std::int64_t token = 0;
+        Instant at;
+    };
+
+    std::map<VmId, VmInfo> vms;
+    std::vector<Order> orders;
+};
+
+/// One daemon's access to the VMs.
+class FakeFleetLink {
+public:
+    FakeFleetLink(event_base& base, FakeFleet& fleet)
+        : base(base)
+        , fleet(fleet)
+    {
+    }
+
+    /// What the next orders are answered with.
+    VmOrderOutcome outcome = VmOrderOutcome::Accepted;
+
+    void list(VmListCallback callback)
+    {
+        std::vector<VmInfo> listed;
+        for (const auto& [id, info] : this->fleet.vms)
+            listed.push_back(info);
+        after(this->base, Milliseconds(1), [callback = std::move(callback), listed] { callback(listed); });
+    }
+
+    void beginMaintenance(const VmId& vm, std::int64_t, std::int64_t token, VmOrderCallback callback)
+    {
+        this->obey(vm, token, std::move(callback));
+    }
+
+    void move(const VmId& vm, const PoolId& pool, std::int64_t token, VmOrderCallback callback)
+    {
+        if (this->outcome == VmOrderOutcome::Accepted)
+            this->fleet.vms.at(vm).pool = pool;
+        this->obey(vm, token, std::move(callback));
+    }
+
+private:
+    void obey(const VmId& vm, std::int64_t token, VmOrderCallback callback)
+    {
+        this->fleet.orders.push_back({ vm, token, BootClock::now() });
+        after(this->base, Milliseconds(1),
+            [callback = std::move(callback), outcome = this->outcome] { callback(outcome); });
+    }
+
+    event_base& base;
+    FakeFleet& fleet;
+};
+
+} // namespace Greengage
--- /dev/null
+++ b/modules/coordinator/tests/VmOrderTests.cpp
@@ -0,0 +1,230 @@
+#include <coordinator/fleet/FleetController.h>
+#include <coordinator/fleet/VmOrderLog.h>
+#include <coordinator/tests/FakeFleet.h>
+#include <coordinator/tests/MemoryStore.h>
+#include <core/log/Log.h>
+#include <loop/memory/EventDeleter.h>
+
+#include <boost/test/unit_test.hpp>
+#include <event2/event.h>
+#include <memory>
+
+using namespace Greengage;
+
+namespace {
+
+constexpr Milliseconds earlierOrders { 3000 };
+constexpr Milliseconds effectPeriod { 5500 };
+
+/// A daemon that, as leader, sizes the pools of the shared fleet.
+struct FleetDaemon {
+    FleetDaemon(event_base& base, MemoryTables& tables, FakeFleet& fleet, const char* name)
+        : base(base)
+        , store(base, tables)
+        , link(base, fleet)
+        , leadership(base, this->store, DaemonId(name), IncarnationId(name), 1000,
+              { [this](const Term& term) { this->begin(term); }, [this] { this->end(); },
+                  [] { return std::string("{}"); }, [](const std::string&) {} })
+        , timer(base, [this] { this->tick(); })
+    {
+        auto policies = std::make_shared<JobPolicies>();
+        policies->pools[PoolId("north")] = { PoolId("north"), false, true };
+        policies->pools[PoolId("off")] = { PoolId("off"), true, true };
+        this->jobs.policies = policies;
+        this->leadership.start();
+    }
+
+    void begin(const Term& term)
+    {
+        this->wonAt = BootClock::now();
+        this->token = term.fencingToken;
+        this->controller = std::make_unique<FleetController<MemoryStore, FakeFleetLink>>(this->store, this->link,
+            this->leadership, this->jobs, Deadline::after(this->wonAt, earlierOrders), effectPeriod,
+            [](std::int64_t, bool, KvCommit&) {});
+        this->timer.schedule(Microseconds(0));
+    }
+
+    void end()
+    {
+        this->controller->close();
+        this->ended = std::move(this->controller);
+    }
+
+    void tick()
+    {
+        if (!this->controller)
+            return;
+        this->controller->tick({}, BootClock::now());
+        this->timer.schedule(Milliseconds(20));
+    }
+
+    event_base& base;
+    MemoryStore store;
+    FakeFleetLink link;
+    JobTables jobs;
+    std::unique_ptr<FleetController<MemoryStore, FakeFleetLink>> controller;
+    std::unique_ptr<FleetController<MemoryStore, FakeFleetLink>> ended;
+    Instant wonAt;
+    std::int64_t token = 0;
+    Leadership<MemoryStore> leadership;
+    Timer timer;
+};
+
+struct VmOrderFixture {
+    VmOrderFixture()
+    {
+        startLog(LogLevel::Error);
+        for (int index = 0; index < 6; ++index) {
+            VmInfo info;
+            info.id = VmId("m" + std::to_string(index));
+            info.pool = PoolId("off");
+            info.state = VmPhase::Up;
+            info.capacity = { 8000, 64'000, 0 };
+            this->fleet.vms[info.id] = info;
+        }
+    }
+
+    std::unique_ptr<FleetDaemon> start(const char* name)
+    {
+        return std::make_unique<FleetDaemon>(*this->base, this->tables, this->fleet, name);
+    }
+
+    /// Checks that the successor of leader 3 sends no order until none of that leader's can take effect, if this text
+    /// is stored as the list of its orders.
+    void checkAllAreSparedAfter(const std::string& list)
+    {
+        KvCommit earlier;
+        earlier.puts = { { StoreKeys::leader, LeaderRecord { DaemonId(), IncarnationId("0"), 3 }.encode() } };
+        if (!list.empty())
+            earlier.puts.emplace_back(StoreKeys::vmOrders, list);
+        this->first = this->start("first");
+        this->first->store.commit(earlier, [](auto) {});
+        BOOST_REQUIRE(this->runUntil([this] { return this->first->leadership.isLeader(); }));
+        BOOST_TEST(this->runUntil([this] { return !this->fleet.orders.empty(); }, earlierOrders + Milliseconds(1000)));
+        BOOST_TEST((this->fleet.orders.front().at - this->first->wonAt >= earlierOrders));
+    }
+
+    template <typename Condition> bool runUntil(Condition condition, Milliseconds atMost = Milliseconds(6000))
+    {
+        auto deadline = Deadline::after(BootClock::now(), atMost);
+        while (!condition() && !deadline.hasPassed(BootClock::now())) {
+            after(*this->base, Milliseconds(2), [] {});
+            event_base_loop(this->base.get(), EVLOOP_ONCE);
+        }
+        return condition();
+    }
+
+    std::set<VmId> orderedBy(const FleetDaemon& daemon) const
+    {
+        std::set<VmId> vms;
+        for (const auto& order : this->fleet.orders) {
+            if (order.token == daemon.token)
+                vms.insert(order.vm);
+        }
+        return vms;
+    }
+
+    std::optional<VmOrderRecord> storedOrders() const
+    {
+        auto item = this->tables.items.find(StoreKeys::vmOrders);
+        return item == this->tables.items.end() ? std::nullopt : VmOrderRecord::decode(item->second.value);
+    }
+
+    EventPointer<event_base> base { event_base_new() };
+    MemoryTables tables;
+    FakeFleet fleet;
+    std::unique_ptr<FleetDaemon> first;
+    std::unique_ptr<FleetDaemon> second;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(VmOrders, VmOrderFixture)
+
+/// A site that starts has no earlier leader whose orders could take effect.
+BOOST_AUTO_TEST_CASE(theFirstLeaderSizesPoolsWithoutWaiting)
+{
+    this->first = this->start("first");
+    BOOST_REQUIRE(this->runUntil([this] { return this->first->leadership.isLeader(); }));
+    BOOST_TEST(this->runUntil([this] { return this->orderedBy(*this->first).size() == 2U; }, Milliseconds(1000)));
+}
+
+/// Loss of a leader: its successor grows the pools at once, and leaves alone only the VMs that the lost leader may have
+/// sent an order to, for as long as this may take effect.
+BOOST_AUTO_TEST_CASE(aSuccessorSparesOnlyTheVmsThatTheLostLeaderOrdered)
+{
+    this->first = this->start("first");
+    this->first->link.outcome = VmOrderOutcome::NoAnswer;
+    BOOST_REQUIRE(this->runUntil([this] { return this->orderedBy(*this->first).size() == 2U; }, Milliseconds(8000)));
+    auto earlier = this->orderedBy(*this->first);
+    this->second = this->start("second");
+    this->first->store.isUnresponsive = true;
+    BOOST_REQUIRE(this->runUntil([this] { return this->second->leadership.isLeader(); }));
+    BOOST_TEST(this->runUntil([this] { return this->orderedBy(*this->second).size() == 2U; }, Milliseconds(1000)));
+    for (const auto& vm : this->orderedBy(*this->second))
+        BOOST_TEST(!earlier.contains(vm), vm.string());
+    // Until no earlier order can take effect, the list names the VMs of both leaders for the next one.
+    auto stored = this->storedOrders();
+    BOOST_REQUIRE(stored.has_value());
+    BOOST_TEST(stored->vms.size() == 4U);
+    // Growth beyond what the others can serve takes the spared VMs too, once they obey one leader only.
+    for (auto& [id, info] : this->fleet.vms) {
+        if (!earlier.contains(id))
+            info.state = VmPhase::Down;
+    }
+    BOOST_TEST(this->runUntil(
+        [&] {
+            auto vms = this->orderedBy(*this->second);
+            return std::any_of(earlier.begin(), earlier.end(), [&vms](const auto& vm) { return vms.contains(vm); });
+        },
+        earlierOrders + Milliseconds(4000)));
+    for (const auto& order : this->fleet.orders) {
+        if (order.token == this->second->token && earlier.contains(order.vm))
+            BOOST_TEST((order.at - this->second->wonAt >= earlierOrders));
+    }
+}
+
+/// A leader of an earlier release does not keep the list, so nothing is known of its orders.
+BOOST_AUTO_TEST_CASE(afterALeaderThatKeptNoListAllVmsAreSpared) { this->checkAllAreSparedAfter({}); }
+
+BOOST_AUTO_TEST_CASE(afterAListOfAnEarlierLeaderAllVmsAreSpared)
+{
+    this->checkAllAreSparedAfter(VmOrderRecord { 1, {} }.encode());
+}
+
+BOOST_AUTO_TEST_CASE(afterAnUnreadableListAllVmsAreSpared) { this->checkAllAreSparedAfter("[]"); }
+
+/// Around a hand-over: an order whose storing was not confirmed is not sent.
+BOOST_AUTO_TEST_CASE(anOrderThatIsNotStoredIsNotSent)
+{
+    this->first = this->start("first");
+    BOOST_REQUIRE(this->runUntil([this] { return this->first->leadership.isLeader(); }));
+    this->first->store.loseCommits = 1;
+    BOOST_TEST(this->runUntil([this] { return !this->fleet.orders.empty(); }));
+    auto stored = this->storedOrders();
+    BOOST_REQUIRE(stored.has_value());
+    for (const auto& order : this->fleet.orders)
+        BOOST_TEST(stored->vms.contains(order.vm));
+    std::size_t sent = this->fleet.orders.size();
+    // Another daemon has acquired the leadership meanwhile: the storing is refused, and nothing is sent.
+    KvCommit change;
+    change.puts = { { StoreKeys::leader, LeaderRecord { DaemonId("other"), IncarnationId("x"), 9 }.encode() } };
+    this->first->store.commit(change, [](auto) {});
+    for (auto& [id, info] : this->fleet.vms)
+        info.state = info.pool == PoolId("north") ? VmPhase::Down : info.state;
+    this->runUntil([] { return false; }, Milliseconds(800));
+    BOOST_TEST(this->fleet.orders.size() == sent);
+}
+
+BOOST_AUTO_TEST_CASE(theStoredListSurvivesEncodingAndRejectsOtherText)
+{
+    auto again = VmOrderRecord::decode(VmOrderRecord { 7, { VmId("m1"), VmId("m2") } }.encode());
+    BOOST_REQUIRE(again.has_value());
+    BOOST_TEST(again->epoch == 7U);
+    BOOST_TEST(again->vms.size() == 2U);
+    for (const char* text :
+        { "", "[]", "{}", "{\"epoch\":-1,\"vms\":[]}", "{\"epoch\":1,\"vms\":[2]}", "{\"epoch\":1}" })
+        BOOST_TEST(!VmOrderRecord::decode(text).has_value(), text);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/modules/jobs/systems/PoolSizing.cpp
+++ b/modules/jobs/systems/PoolSizing.cpp
@@ -45,7 +45,8 @@
 }
 
 std::vector<MoveOrder> PoolSizing::advance(const std::map<VmId, VmInfo>& vms,
-    const std::map<PoolId, std::int64_t>& incoming, const std::set<VmId>& busy, Instant now, std::int64_t nowUnixMs)
+    const std::map<PoolId, std::int64_t>& incoming, const std::set<VmId>& busy, const std::set<VmId>& pinned,
+    Instant now, std::int64_t nowUnixMs)
 {
     const auto& pools = this->tables.policies->pools;
     auto sparePool = std::find_if(pools.begin(), pools.end(), [](const auto& entry) { return entry.second.spare; });
@@ -53,10 +54,10 @@
         return {};
     std::vector<VmId> spare;
     for (const auto& [id, info] : vms) {
-        if (info.pool == sparePool->first && info.state == VmPhase::Up && !busy.contains(id))
+        if (info.pool == sparePool->first && info.state == VmPhase::Up && !busy.contains(id) && !pinned.contains(id))
             spare.push_back(id);
     }
-    auto needs = this->measureNeeds(vms, incoming, busy, now, nowUnixMs);
+    auto needs = this->measureNeeds(vms, incoming, busy, pinned, now, nowUnixMs);
     for (const auto& [pool, need] : needs) {
         auto [entry, isNew] = this->lastAllNeededAt.try_emplace(pool, now);
         if (need.required >= need.current)
@@ -73,8 +74,8 @@
 }
 
 std::map<PoolId, PoolSizing::Need> PoolSizing::measureNeeds(const std::map<VmId, VmInfo>& vms,
-    const std::map<PoolId, std::int64_t>& incoming, const std::set<VmId>& busy, Instant now,
-    std::int64_t nowUnixMs) const
+    const std::map<PoolId, std::int64_t>& incoming, const std::set<VmId>& busy, const std::set<VmId>& pinned,
+    Instant now, std::int64_t nowUnixMs) const
 {
     std::map<PoolId, std::int64_t> poolCpuMillis;
     std::map<PoolId, Need> needs;
@@ -88,7 +89,7 @@
         Need& need = needs[info.pool];
         need.current += 1;
         poolCpuMillis[info.pool] += info.capacity.cpuMillis;
-        if (this->isIdle(info))
+        if (this->isIdle(info) && !pinned.contains(id))
             need.idle.push_back(id);
     }
     auto loads = PoolLoad::measure(this->tables, nowUnixMs);
--- a/modules/jobs/systems/PoolSizing.h
+++ b/modules/jobs/systems/PoolSizing.h
@@ -46,9 +46,10 @@
     void recordArrival(const PoolId&, const JobSpec&, Instant now);
 
     /// Chooses the VMs to move. They are idle, and no new tasks are placed on them from then on. `incoming` counts the
-    /// VMs that are on their way to each pool; VMs in `busy` are not moved.
+    /// VMs that are on their way to each pool. VMs in `busy` are on their way or down and do not count for their pool.
+    /// VMs in `pinned` count, but cannot be moved now.
     std::vector<MoveOrder> advance(const std::map<VmId, VmInfo>& vms, const std::map<PoolId, std::int64_t>& incoming,
-        const std::set<VmId>& busy, Instant now, std::int64_t nowUnixMs);
+        const std::set<VmId>& busy, const std::set<VmId>& pinned, Instant now, std::int64_t nowUnixMs);
 
 private:
     struct Arrivals {
@@ -67,7 +68,7 @@
 
     double arrivingCpuMillis(const PoolId&, Instant now) const;
     std::map<PoolId, Need> measureNeeds(const std::map<VmId, VmInfo>&, const std::map<PoolId, std::int64_t>& incoming,
-        const std::set<VmId>& busy, Instant now, std::int64_t nowUnixMs) const;
+        const std::set<VmId>& busy, const std::set<VmId>& pinned, Instant now, std::int64_t nowUnixMs) const;
     std::int64_t requiredVms(const PoolId&, const PoolLoad&, std::int64_t vmCpuMillis, Instant now) const;
     bool isIdle(const VmInfo&) const;
     void growPools(std::map<PoolId, Need>&, std::vector<VmId>& spare, const PoolId& sparePool, std::vector<MoveOrder>&);
--- a/modules/jobs/tests/SizingTests.cpp
+++ b/modules/jobs/tests/SizingTests.cpp
@@ -25,9 +25,13 @@
         this->vms[info.id] = info;
     }
 
-    std::vector<MoveOrder> planMoves() { return this->sizing.advance(this->vms, {}, {}, this->now, this->unixMs); }
+    std::vector<MoveOrder> planMoves()
+    {
+        return this->sizing.advance(this->vms, {}, {}, this->pinned, this->now, this->unixMs);
+    }
 
     std::map<VmId, VmInfo> vms;
+    std::set<VmId> pinned;
     PoolSizing sizing { this->tables };
     MaintenanceSystem maintenance { this->tables };
 };
@@ -87,6 +91,22 @@
     BOOST_TEST(movesTo(this->planMoves(), "spare") == 5U - PoolSizing::reserveVms);
 }
 
+/// Guards against a pool that grows further because its own VMs cannot be moved for a while.
+BOOST_AUTO_TEST_CASE(aVmThatCannotBeMovedNowCountsForItsPool)
+{
+    for (int index = 0; index < PoolSizing::reserveVms; ++index) {
+        this->addVm("n" + std::to_string(index), "north");
+        this->addVm("s" + std::to_string(index), "south");
+        this->addVm("p" + std::to_string(index), "spare");
+    }
+    this->pinned = { VmId("n0"), VmId("p0") };
+    BOOST_TEST(this->planMoves().empty());
+    this->addJob("burst", { step(40, 1000) });
+    this->placeAndRun();
+    for (const auto& order : this->planMoves())
+        BOOST_TEST(!this->pinned.contains(order.vm));
+}
+
 BOOST_AUTO_TEST_CASE(aVmWithAttemptsIsNeverMoved)
 {
     for (int index = 0; index < 5; ++index)
