coordinator: store progress in independent commits, confirmed by whatever shows them first

Cause: one commit of progress was under way at a time; when its answer was lost, all jobs waited for its time limit, which doubled up to a second, while the write had long been made.

--- a/modules/coordinator/placing/Coordinator.h
+++ b/modules/coordinator/placing/Coordinator.h
@@ -147,7 +147,8 @@
     static constexpr Milliseconds maxRest { 100 };
     /// Least time between flushes of progress, unless a plan is to be stored.
     static constexpr Milliseconds flushPeriod { 40 };
-    static constexpr Milliseconds jobsWatchWait { 2000 };
+    /// Bounds how long new jobs stay unseen when the answer to a watch is lost.
+    static constexpr Milliseconds jobsWatchWait { 300 };
 
     /// What exists only while this daemon is the leader.
     struct Session {
@@ -155,7 +156,7 @@
             : loader(tables, [this, &owner](const JobRow& job) { owner.recordArrival(*this, job); })
             , jobsMirror(owner.base, owner.store, StoreKeys::jobs, jobsWatchWait,
                   { [this, &owner](const KvListing& listing) { owner.handleJobListing(*this, listing); },
-                      [this, &owner](const KvListing& listing) { owner.handleJobListing(*this, listing); },
+                      [this, &owner](const KvListing& changes) { owner.handleJobChanges(*this, changes); },
                       [](KvFailure) {} })
             , writer(
                   owner.store, owner.leadership, tables, [this](JobRow& job) { this->orders.startPlanned(job); },
@@ -231,6 +232,13 @@
     /// Steps down, because a worker has seen a higher fencing token: another daemon is the leader.
     void handleFenced() { this->leadership.stepDown("a worker has seen a higher fencing token"); }
 
+    void handleJobChanges(Session& current, const KvListing& changes)
+    {
+        for (const auto& item : changes.items)
+            current.writer.handleChange(item);
+        this->handleJobListing(current, changes);
+    }
+
     void handleJobListing(Session& current, const KvListing& listing)
     {
         current.loader.handleListing(listing);
--- /dev/null
+++ b/modules/coordinator/placing/ReportCheckpoint.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <core/text/Identifier.h>
+
+#include <cstdint>
+#include <set>
+#include <unordered_map>
+#include <vector>
+
+namespace Greengage {
+
+class JobTables;
+
+/// Decides when workers may forget ends that they reported: once all changes that the reports have caused are stored.
+/// A checkpoint notes the reports that have been applied and the jobs whose changes are not stored yet. It is complete
+/// when each of these jobs has been stored by a write that began after its last change.
+class ReportCheckpoint {
+public:
+    explicit ReportCheckpoint(JobTables& tables)
+        : tables(tables)
+    {
+    }
+
+    /// Whether no checkpoint has begun since the last one was finished.
+    bool isComplete() const { return !this->hasBegun; }
+
+    /// Begins a checkpoint with the reports that have been applied by now. `underWay` are the jobs of which a write is
+    /// under way.
+    void begin(const std::set<JobId>& unsaved, const std::vector<JobId>& underWay);
+
+    /// A write that holds all changes of the job has begun.
+    void beginWrite(const JobId&);
+    /// The write of the job that was under way has been stored.
+    void endWrite(const JobId&);
+    /// The write of the job that was under way has not been stored, or may not have been.
+    void repeatWrite(const JobId&);
+    /// The job does not exist any more.
+    void remove(const JobId&);
+
+    /// Finishes the checkpoint if it is complete: workers may forget the ends that it covers. Returns whether it was
+    /// finished.
+    bool finish();
+
+private:
+    enum class Phase {
+        /// No write that holds the job's changes has begun.
+        Unsaved,
+        UnderWay,
+    };
+
+    JobTables& tables;
+    bool hasBegun = false;
+    std::unordered_map<JobId, Phase> jobs;
+    std::unordered_map<WorkerId, std::uint64_t> appliedEnds;
+};
+
+} // namespace Greengage
--- a/modules/coordinator/store/KvCommitResult.h
+++ b/modules/coordinator/store/KvCommitResult.h
@@ -16,14 +16,21 @@
     /// If the writes were not applied: the expected keys as they are now. Keys that do not exist are left out.
     std::vector<KvItem> current;
 
-    /// The current revision of an expected key; 0 if it does not exist. Valid only if the commit was not applied.
-    std::int64_t currentRevision(std::string_view key) const
+    /// An expected key as it is now; null if it does not exist. Valid only if the commit was not applied.
+    const KvItem* find(std::string_view key) const
     {
         for (const auto& item : this->current) {
             if (item.key == key && !item.isRemoved)
-                return item.revision;
+                return &item;
         }
-        return 0;
+        return nullptr;
+    }
+
+    /// The current revision of an expected key; 0 if it does not exist. Valid only if the commit was not applied.
+    std::int64_t currentRevision(std::string_view key) const
+    {
+        const KvItem* item = this->find(key);
+        return item ? item->revision : 0;
     }
 };
 
--- a/modules/coordinator/tests/CoordinatorTests.cpp
+++ b/modules/coordinator/tests/CoordinatorTests.cpp
@@ -318,6 +318,46 @@
     BOOST_TEST(this->workers.starts == 10U);
 }
 
+/// Load: jobs arrive while the store carries writes out without answering. The write of one job, which has been carried
+/// out, holds up neither this job, which the watch shows as stored, nor the others.
+BOOST_AUTO_TEST_CASE(aLostAnswerDelaysNoStart)
+{
+    this->first->coordinator.start();
+    BOOST_REQUIRE(this->runUntil([this] { return this->first->coordinator.isLeader(); }));
+    this->second = this->makeDaemon("second", "1");
+    this->submit(*this->second, this->job("warm", 1));
+    BOOST_REQUIRE(this->runUntil([this] { return this->isCompleted("warm"); }));
+    this->runFor(Milliseconds(500));
+    std::size_t startsBefore = this->workers.starts;
+    this->workers.taskLength = Milliseconds(5000);
+    this->first->store.lostAnswerTimeout = Milliseconds(4000);
+    this->first->store.loseCommits = 3;
+    for (std::size_t index = 0; index < 6; ++index) {
+        this->submit(*this->second, this->job("j" + std::to_string(index), 1));
+        BOOST_TEST(this->runUntil([&] { return this->workers.starts == startsBefore + index + 1; }, Milliseconds(400)));
+    }
+    BOOST_TEST(this->workers.startedTwice.empty());
+}
+
+/// Guards against a worker that forgets an end whose effect is not stored: the next leader would start the task again.
+BOOST_AUTO_TEST_CASE(anEndIsAcknowledgedOnlyOnceItsEffectIsStored)
+{
+    this->workers.taskLength = Milliseconds(200);
+    this->first->coordinator.start();
+    BOOST_REQUIRE(this->runUntil([this] { return this->first->coordinator.isLeader(); }));
+    this->second = this->makeDaemon("second", "1");
+    this->submit(*this->second, this->job("j", 2));
+    BOOST_REQUIRE(this->runUntil([this] { return this->workers.starts == 2U; }));
+    this->first->store.isRefusing = true;
+    this->runFor(Milliseconds(700));
+    BOOST_TEST(this->workers.done.size() == 2U);
+    BOOST_TEST(this->workers.storedAsDone.empty());
+    this->first->store.isRefusing = false;
+    BOOST_TEST(this->runUntil([this] { return this->isCompleted("j"); }));
+    BOOST_TEST(this->runUntil([this] { return this->workers.storedAsDone.size() == 2U; }));
+    BOOST_TEST(this->workers.starts == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(jobsStoredWhileHistoryWasDroppedAreLoaded)
 {
     this->first->coordinator.start();
--- a/modules/coordinator/tests/MemoryStore.h
+++ b/modules/coordinator/tests/MemoryStore.h
@@ -40,6 +40,8 @@
     Milliseconds listDelay { 1 };
     /// How many of the next commits are applied without an answer.
     int loseCommits = 0;
+    /// How long such a commit is waited for.
+    Milliseconds lostAnswerTimeout { 20 };
 
     void read(const std::string& key, KvReadCallback callback)
     {
@@ -77,7 +79,7 @@
         KvCommitResult result = this->apply(commit);
         if (this->loseCommits > 0) {
             this->loseCommits -= 1;
-            this->later(Milliseconds(20), [callback = std::move(callback)] { callback(KvFailure::Unanswered); });
+            this->later(this->lostAnswerTimeout, [callback = std::move(callback)] { callback(KvFailure::Unanswered); });
             return;
         }
         this->later(Milliseconds(1), [callback = std::move(callback), result] { callback(result); });
