coordinator: repeat unanswered start orders, spare ordered VMs for no longer than needed

After takeovers the list of ordered VMs named up to 21 of 49 VMs, most of whose orders had been answered over 3 s before. Change: a start order is repeated under the same attempt number after 120 ms; any refusal of a repeated order leaves the attempt to the worker's report, since another copy may have been carried out. An answered VM order leaves the list after one turn period.

--- a/modules/coordinator/fleet/FleetController.h
+++ b/modules/coordinator/fleet/FleetController.h
@@ -25,17 +25,17 @@
     /// Adds to a commit what the operators see of a wave: whether it is completed.
     using Publish = std::function<void(std::int64_t wave, bool isCompleted, KvCommit&)>;
 
-    /// `unfencedOrdersFrom` is when orders of earlier leaders to VMs can no longer take effect, and `effectPeriod` how
-    /// long after it was sent an order can.
+    /// `unfencedOrdersFrom` is when orders of earlier leaders to VMs can no longer take effect, and `turnPeriod` the
+    /// least time between orders of two leaders to one VM.
     FleetController(Store& store, Vms& vmService, Leadership<Store>& leadership, JobTables& tables,
-        Deadline unfencedOrdersFrom, Milliseconds effectPeriod, Publish publish)
+        Deadline unfencedOrdersFrom, Milliseconds turnPeriod, Publish publish)
         : store(store)
         , vmService(vmService)
         , leadership(leadership)
         , tables(tables)
         , system(tables)
         , sizing(tables)
-        , orderLog(store, leadership, leadership.currentTerm().epoch, unfencedOrdersFrom, effectPeriod)
+        , orderLog(store, leadership, leadership.currentTerm().epoch, unfencedOrdersFrom, turnPeriod)
         , unfencedOrdersFrom(unfencedOrdersFrom)
         , publish(std::move(publish))
         , alive(std::make_shared<bool>(true))
@@ -152,6 +152,8 @@
     {
         Instant now = BootClock::now();
         this->pendingOrders.erase(order.vm);
+        if (outcome != VmOrderOutcome::NoAnswer)
+            this->orderLog.handleAnswer(order.vm, now);
         writeLog(outcome == VmOrderOutcome::Accepted ? LogLevel::Info : LogLevel::Warning,
             LogLine("move_answered").add("machine", order.vm.string()).add("outcome", nameOf(outcome)));
         if (outcome == VmOrderOutcome::Fenced) {
@@ -322,6 +324,8 @@
     {
         Instant now = BootClock::now();
         this->pendingOrders.erase(vm);
+        if (outcome != VmOrderOutcome::NoAnswer)
+            this->orderLog.handleAnswer(vm, now);
         writeLog(LogLevel::Info,
             LogLine("maintenance_answered")
                 .add("wave", wave)
--- a/modules/coordinator/fleet/VmOrderLog.h
+++ b/modules/coordinator/fleet/VmOrderLog.h
@@ -26,14 +26,14 @@
     using Callback = std::function<void(bool mayBeSent)>;
 
     /// `epoch` is that of this leader, `earlierOrdersUntil` when no order of an earlier one can take effect any more,
-    /// and `effectPeriod` how long after it was sent an order may take effect.
+    /// and `turnPeriod` the least time between orders of two leaders to one VM.
     VmOrderLog(Store& store, Leadership<Store>& leadership, std::uint32_t epoch, Deadline earlierOrdersUntil,
-        Milliseconds effectPeriod)
+        Milliseconds turnPeriod)
         : store(store)
         , leadership(leadership)
         , epoch(epoch)
         , earlierOrdersUntil(earlierOrdersUntil)
-        , effectPeriod(effectPeriod)
+        , turnPeriod(turnPeriod)
         , alive(std::make_shared<bool>(true))
     {
     }
@@ -57,6 +57,9 @@
     /// Asks for an order to be stored with the next `flush`.
     void record(const VmId& vm, Callback callback) { this->waiting.emplace_back(vm, std::move(callback)); }
 
+    /// An order to this VM has been answered, so it takes no effect any more.
+    void handleAnswer(const VmId& vm, Instant now) { this->recorded[vm] = Deadline::after(now, this->turnPeriod); }
+
     /// Stores the orders that were asked for since the last one. Reads the list of the last leader first.
     void flush(Instant now)
     {
@@ -90,9 +93,8 @@
             writeLog(LogLevel::Error, LogLine("stored_vm_orders_unreadable"));
         if (record)
             this->inherited = record->vms;
-        // The list says nothing of a leader that has not written it. The first leader of all has no predecessor.
-        bool isOfLastLeader = record && record->epoch + 1 >= this->epoch;
-        this->isInheritedListKnown = isOfLastLeader || (!item && this->epoch == 0);
+        // The list says nothing of a leader that has not written it.
+        this->isInheritedListKnown = record && record->epoch + 1 >= this->epoch;
         writeLog(LogLevel::Info,
             LogLine("vm_orders_loaded")
                 .add("epoch", this->epoch)
@@ -156,7 +158,7 @@
         for (const auto& [vm, callback] : orders) {
             if (!*this->alive)
                 return;
-            this->recorded[vm] = Deadline::after(BootClock::now(), this->effectPeriod);
+            this->recorded[vm] = Deadline::after(BootClock::now(), this->turnPeriod + Leadership<Store>::validity);
             callback(mayBeSent);
         }
     }
@@ -165,7 +167,7 @@
     Leadership<Store>& leadership;
     std::uint32_t epoch;
     Deadline earlierOrdersUntil;
-    Milliseconds effectPeriod;
+    Milliseconds turnPeriod;
     std::shared_ptr<bool> alive;
     std::int64_t revision = 0;
     bool isLoaded = false;
@@ -175,7 +177,7 @@
     /// Whether `inherited` lists all VMs that earlier leaders may have sent orders to.
     bool isInheritedListKnown = false;
     std::set<VmId> inherited;
-    /// VMs that this leader has sent orders to, with the time until which these may take effect.
+    /// VMs that this leader has sent orders to, with the time until which the next leader has to spare them.
     std::map<VmId, Deadline> recorded;
     std::vector<std::pair<VmId, Callback>> waiting;
 };
--- a/modules/coordinator/placing/Coordinator.h
+++ b/modules/coordinator/placing/Coordinator.h
@@ -167,8 +167,8 @@
             , workerRoster(owner.store, owner.leadership, tables)
             , cleaner(owner.store, owner.leadership, owner.limits.endedJobRetention, BootClock::now())
             , fleet(owner.store, owner.vmService, owner.leadership, tables,
-                  Deadline::after(BootClock::now(), owner.limits.unfencedOrderDelay),
-                  owner.limits.unfencedOrderDelay + Leadership<Store>::validity, owner.publishWave)
+                  Deadline::after(BootClock::now(), owner.limits.unfencedOrderDelay), owner.limits.unfencedOrderDelay,
+                  owner.publishWave)
             , leases(owner.link, tables, term.fencingToken, owner.limits.leaseDuration,
                   { [this] { return this->isComplete(); }, [&owner] { owner.scheduleTick(); },
                       [&owner] { owner.handleFenced(); } })
@@ -311,6 +311,7 @@
                 this->placeTasks(now);
                 this->session->advice.tick(now);
                 this->session->throttling.advance(now);
+                this->session->orders.repeatStarts(now);
                 this->session->orders.orderStops(now);
                 this->session->orders.orderThrottles();
                 this->logPools(now);
--- a/modules/coordinator/placing/OrderSender.h
+++ b/modules/coordinator/placing/OrderSender.h
@@ -72,6 +72,21 @@
         }
     }
 
+    /// Repeats start orders that are not answered yet. The worker carries out the order of an attempt once, however
+    /// often it arrives.
+    void repeatStarts(Instant now)
+    {
+        for (auto& [id, worker] : this->tables.workers) {
+            for (auto& [task, attempt] : worker.attempts) {
+                bool isUnanswered = attempt.phase == AttemptPhase::Ordered || attempt.phase == AttemptPhase::Unanswered;
+                if (isUnanswered && !attempt.isAnswered && attempt.startOrders < maxStartOrders
+                    && attempt.nextStartOrder.hasPassed(now) && !attempt.orderExpires.hasPassed(now) && worker.isListed
+                    && !worker.info.draining && !worker.isDrainOrdered && this->handlers.mayAct(now))
+                    this->sendStart(worker, attempt, now);
+            }
+        }
+    }
+
     /// Orders attempts to stop, orphaned ones included, and repeats orders that had no effect.
     void orderStops(Instant now)
     {
@@ -101,6 +116,10 @@
 private:
     /// A worker that refused a start order, or left one unanswered, gets no other one for this long.
     static constexpr Milliseconds refusalPause { 300 };
+    /// A start order without an answer is repeated after this time, up to this many orders. Workers answer within
+    /// milliseconds.
+    static constexpr Milliseconds startRetry { 120 };
+    static constexpr int maxStartOrders = 4;
     static constexpr Milliseconds stopRetry { 300 };
     /// An accepted stop order is not repeated for this long; the worker reports the end within its own limit for stops.
     static constexpr Milliseconds stopEffectPeriod { 2000 };
@@ -121,15 +140,8 @@
         attempt.confirmedAt = now;
         constexpr auto validFor = PlacementSystem::orderValidFor;
         attempt.orderExpires = Deadline::after(now, LeaseManager<Link>::longestLease(validFor));
-        StartAttempt start;
-        start.task = order.task;
-        start.run = order.run;
-        start.payload = tables.jobs.at(order.task.job).record.spec.payload;
-        start.validUntilClockMs = this->leases.clockOf(worker, now) + PlacementSystem::orderValidFor.count();
-        start.fencingToken = this->token;
-        start.checkpoint = attempt.checkpoint;
-        start.ticket = attempt.ticket;
-        this->leases.extendLease(worker, now, PlacementSystem::orderValidFor);
+        attempt.orderValidUntilClockMs = this->leases.clockOf(worker, now) + validFor.count();
+        this->leases.extendLease(worker, now, validFor);
         writeLog(LogLevel::Info,
             LogLine("task_start")
                 .add("task", order.task.text())
@@ -137,8 +149,24 @@
                 .add("worker", order.worker.string())
                 .add("policies", tables.policies->version)
                 .add("report_age_ms", std::chrono::duration_cast<Milliseconds>(now - worker.lastReport).count()));
-        this->link.start(
-            this->leases.endpointOf(worker), start, [this, alive = this->alive, order](StartOutcome outcome) {
+        this->sendStart(worker, attempt, now);
+    }
+
+    void sendStart(WorkerRow& worker, Attempt& attempt, Instant now)
+    {
+        StartAttempt start;
+        start.task = attempt.task;
+        start.run = attempt.run;
+        start.payload = this->tables.jobs.at(attempt.task.job).record.spec.payload;
+        start.validUntilClockMs = attempt.orderValidUntilClockMs;
+        start.fencingToken = this->token;
+        start.checkpoint = attempt.checkpoint;
+        start.ticket = attempt.ticket;
+        attempt.startOrders += 1;
+        attempt.nextStartOrder = Deadline::after(now, startRetry);
+        this->link.start(this->leases.endpointOf(worker), start,
+            [this, alive = this->alive, order = StartOrder { worker.info.id, attempt.task, attempt.run }](
+                StartOutcome outcome) {
                 if (*alive)
                     this->handleStartOutcome(order, outcome);
             });
@@ -155,6 +183,7 @@
             return;
         Attempt& attempt = found->second;
         Instant now = BootClock::now();
+        attempt.answeredStartOrders += 1;
         if (outcome == StartOutcome::Accepted) {
             attempt.isAnswered = true;
             attempt.confirmedAt = now;
@@ -168,15 +197,21 @@
                 .add("run", order.run)
                 .add("worker", order.worker.string())
                 .add("reason", nameOf(outcome)));
-        if (outcome == StartOutcome::NoAnswer) {
+        if (outcome == StartOutcome::Fenced) {
+            this->handlers.onFenced();
+            return;
+        }
+        // A refusal tells nothing of the other copies of the order: one may have been carried out before, or may be
+        // yet.
+        if (outcome == StartOutcome::NoAnswer || attempt.startOrders > 1) {
+            if (attempt.isAnswered)
+                return;
+            this->leases.probe(*worker, now);
+            if (attempt.answeredStartOrders < attempt.startOrders)
+                return;
             if (attempt.phase == AttemptPhase::Ordered)
                 attempt.phase = AttemptPhase::Unanswered;
             worker->quarantinedUntil = std::max(worker->quarantinedUntil, Deadline::after(now, refusalPause));
-            this->leases.probe(*worker, now);
-            return;
-        }
-        if (outcome == StartOutcome::Fenced) {
-            this->handlers.onFenced();
             return;
         }
         bool isRefusedByWorker = outcome != StartOutcome::NotSent && outcome != StartOutcome::Outdated
--- a/modules/coordinator/tests/CoordinatorTests.cpp
+++ b/modules/coordinator/tests/CoordinatorTests.cpp
@@ -450,6 +450,42 @@
     BOOST_TEST(this->workers.startedTwice.empty());
 }
 
+/// Load: workers leave a part of the start orders unanswered. A task whose order is lost is ordered again at once, and
+/// waits neither until the order has expired nor for a report.
+BOOST_AUTO_TEST_CASE(tasksWhoseStartOrdersAreLostStartWithinAFewHundredMilliseconds)
+{
+    this->first->coordinator.start();
+    BOOST_REQUIRE(this->runUntil([this] { return this->first->coordinator.isLeader(); }));
+    this->submit(*this->first, this->job("warm", 1));
+    BOOST_REQUIRE(this->runUntil([this] { return this->isCompleted("warm"); }));
+    this->first->link.lostStartTimeout = Milliseconds(400);
+    this->first->link.loseStarts = 3;
+    this->submit(*this->first, this->job("j", 6));
+    BOOST_TEST(this->runUntil([this] { return this->workers.starts == 7U; }, Milliseconds(350)));
+    BOOST_TEST(this->runUntil([this] { return this->isCompleted("j"); }));
+    BOOST_TEST(this->workers.startedTwice.empty());
+    BOOST_TEST(this->workers.starts == 7U);
+}
+
+/// The answer to a start is lost, and the task may have ended before the order is repeated: it is not run again.
+BOOST_AUTO_TEST_CASE(aTaskWhoseStartWasCarriedOutWithoutAnAnswerRunsOnce)
+{
+    this->first->coordinator.start();
+    BOOST_REQUIRE(this->runUntil([this] { return this->first->coordinator.isLeader(); }));
+    for (int lengthMs : { 20, 110, 130, 300 }) {
+        this->workers.taskLength = Milliseconds(lengthMs);
+        this->first->link.lostStartTimeout = Milliseconds(400);
+        this->first->link.loseStartAnswers = 5;
+        std::string id = "j" + std::to_string(lengthMs);
+        this->submit(*this->first, this->job(id, 4));
+        BOOST_TEST(this->runUntil([&] { return this->isCompleted(id); }));
+    }
+    BOOST_TEST(this->workers.startedTwice.empty());
+    BOOST_TEST(this->workers.starts == 16U);
+    for (const auto& [task, times] : this->workers.done)
+        BOOST_TEST(times == 1);
+}
+
 /// Guards against a lease that expires because several renewals in a row are lost.
 BOOST_AUTO_TEST_CASE(threeLostRenewalsInARowExpireNoLease)
 {
--- a/modules/jobs/tables/Attempt.h
+++ b/modules/jobs/tables/Attempt.h
@@ -47,8 +47,15 @@
     /// The resources that count against the team's maximum.
     ResourceAmount charged;
     Instant orderedAt;
+    /// How many times the start order has been sent, and how many of these calls have ended.
+    int startOrders = 0;
+    int answeredStartOrders = 0;
+    /// When the start order is sent again unless it is answered.
+    Deadline nextStartOrder;
     /// The time from which the worker refuses the start order as too late.
     Deadline orderExpires;
+    /// The same time on the worker's clock, in milliseconds.
+    std::int64_t orderValidUntilClockMs = 0;
     /// When the attempt was last known to run. Reports that answer an earlier request say nothing about it.
     Instant confirmedAt;
     /// Whether this leader or an earlier one may have sent a start order.
