sizing: see a rise of demand within 0.3 s, and take idle VMs of other pools before spare ones

VMs of a falling pool went to the spare pool while the rising one took others from there. The test of the order of donors follows the change and now checks each order.

--- a/modules/jobs/systems/PoolSizing.cpp
+++ b/modules/jobs/systems/PoolSizing.cpp
@@ -132,21 +132,20 @@
         });
         if (neediest == needs.end() || neediest->second.required <= neediest->second.current)
             return;
-        if (!spare.empty()) {
-            orders.push_back({ spare.back(), sparePool, neediest->first });
-            spare.pop_back();
-            neediest->second.current += 1;
-            continue;
-        }
+        // An idle VM of another pool is running already, and moving it directly saves the detour over the spare pool.
         auto donor = std::max_element(needs.begin(), needs.end(), [](const auto& left, const auto& right) {
             auto surplus = [](const Need& need) { return need.idle.empty() ? -1 : need.current - need.required; };
             return surplus(left.second) < surplus(right.second);
         });
-        if (donor->second.idle.empty() || donor->second.current <= donor->second.required)
+        if (!donor->second.idle.empty() && donor->second.current > donor->second.required) {
+            orders.push_back({ donor->second.idle.back(), donor->first, neediest->first });
+            donor->second.idle.pop_back();
+            donor->second.current -= 1;
+        } else if (!spare.empty()) {
+            orders.push_back({ spare.back(), sparePool, neediest->first });
+            spare.pop_back();
+        } else
             return;
-        orders.push_back({ donor->second.idle.back(), donor->first, neediest->first });
-        donor->second.idle.pop_back();
-        donor->second.current -= 1;
         neediest->second.current += 1;
     }
 }
--- a/modules/jobs/systems/PoolSizing.h
+++ b/modules/jobs/systems/PoolSizing.h
@@ -28,8 +28,9 @@
 /// arriving work, and idle VMs that no pool needs are switched off.
 class PoolSizing {
 public:
-    /// Time constant of the exponential average of arriving work.
-    static constexpr Milliseconds arrivalWindow { 1000 };
+    /// Time constant of the exponential average of arriving work. Demand can rise to many times its value from one
+    /// moment to the next, and a longer average orders the VMs for it too late.
+    static constexpr Milliseconds arrivalWindow { 300 };
     /// How long a pool keeps VMs that it does not need. Its need may return, and a move takes seconds.
     static constexpr Milliseconds idleRetention { 1500 };
     /// The number of VMs that each pool keeps in addition to those for its occupied and waiting demand.
--- a/modules/jobs/tests/SizingTests.cpp
+++ b/modules/jobs/tests/SizingTests.cpp
@@ -47,7 +47,7 @@
 BOOST_FIXTURE_TEST_SUITE(Sizing, FleetFixture)
 
 /// One queue asks for several times the capacity of its pool, the other for almost nothing.
-BOOST_AUTO_TEST_CASE(aBurstMovesVmsFromTheSparePoolAndThenFromIdlePools)
+BOOST_AUTO_TEST_CASE(aBurstMovesVmsFromIdlePoolsAndThenFromTheSparePool)
 {
     for (int index = 0; index < 4; ++index) {
         this->addVm("n" + std::to_string(index), "north");
@@ -57,10 +57,12 @@
     this->addJob("burst", { step(56, 1000) });
     this->placeAndRun();
     auto orders = this->planMoves();
-    // 56 cores and a reserve of two VMs of eight cores require nine VMs. Beyond the four in the pool and the spare one,
-    // two more come from the idle pool, which keeps its reserve.
-    BOOST_TEST(movesTo(orders, "north") == 3U);
-    BOOST_TEST((orders.front().from.string() == "spare"));
+    // 56 cores and a reserve of two VMs of eight cores require nine VMs. Beyond the four in the pool, two come from the
+    // idle pool, which keeps its reserve, and then the spare one.
+    BOOST_REQUIRE(movesTo(orders, "north") == 3U);
+    BOOST_TEST((orders[0].from.string() == "south"));
+    BOOST_TEST((orders[1].from.string() == "south"));
+    BOOST_TEST((orders[2].from.string() == "spare"));
     for (const auto& order : orders) {
         if (auto* worker = this->tables.findWorker(this->vms.at(order.vm).worker))
             BOOST_TEST(worker->attempts.empty());
@@ -80,6 +82,43 @@
     BOOST_TEST(movesTo(this->planMoves(), "north") > 0U);
 }
 
+/// Load: a queue that was almost idle asks for several times the capacity of its pool, from one moment to the next. A
+/// move takes seconds, so within a third of a second more than half of the VMs that the new rate needs are ordered.
+BOOST_AUTO_TEST_CASE(aRiseOfTheDemandIsMetWithinAThirdOfASecond)
+{
+    for (int index = 0; index < 5; ++index)
+        this->addVm("n" + std::to_string(index), "north");
+    for (int index = 0; index < 30; ++index)
+        this->addVm("p" + std::to_string(index), "spare");
+    // Twenty jobs a second, each of which keeps eight cores busy for a second: 160 cores, or 20 VMs.
+    JobSpec spec;
+    spec.steps = { step(8, 1000) };
+    constexpr Milliseconds between { 50 };
+    for (Milliseconds elapsed { 0 }; elapsed < Milliseconds(330); elapsed += between) {
+        this->sizing.recordArrival(PoolId("north"), spec, this->now);
+        this->advance(between);
+    }
+    BOOST_TEST(5U + movesTo(this->planMoves(), "north") >= 10U);
+}
+
+/// The same rise in steps that end: what was ordered in excess is given back after the retention.
+BOOST_AUTO_TEST_CASE(afterTheDemandHasFallenThePoolShrinksToItsReserve)
+{
+    for (int index = 0; index < 20; ++index)
+        this->addVm("n" + std::to_string(index), "north");
+    for (int index = 0; index < PoolSizing::reserveVms; ++index)
+        this->addVm("s" + std::to_string(index), "south");
+    JobSpec spec;
+    spec.steps = { step(8, 1000) };
+    for (int arrival = 0; arrival < 10; ++arrival) {
+        this->sizing.recordArrival(PoolId("north"), spec, this->now);
+        this->advance(Milliseconds(50));
+    }
+    this->planMoves();
+    this->advance(PoolSizing::idleRetention + PoolSizing::arrivalWindow * 20);
+    BOOST_TEST(movesTo(this->planMoves(), "spare") == 20U - PoolSizing::reserveVms);
+}
+
 BOOST_AUTO_TEST_CASE(idleVmsBeyondTheReserveAreSwitchedOffAfterTheRetention)
 {
     for (int index = 0; index < 5; ++index)
