--- a/modules/coordinator/placing/ProgressWriter.h
+++ b/modules/coordinator/placing/ProgressWriter.h
@@ -2,7 +2,7 @@
 
 #include <coordinator/leadership/Leadership.h>
 #include <coordinator/placing/EndedJob.h>
-#include <coordinator/placing/ReportCheckpoint.h>
+#include <coordinator/placing/ReportWatermark.h>
 #include <core/time/UnixClock.h>
 #include <jobs/codec/JobProgressCodec.h>
 #include <jobs/tables/JobTables.h>
@@ -28,7 +28,7 @@
         : store(store)
         , leadership(leadership)
         , tables(tables)
-        , checkpoint(tables)
+        , watermark(tables)
         , onStored(std::move(onStored))
         , onReportsStored(std::move(onReportsStored))
         , alive(std::make_shared<bool>(true))
@@ -49,11 +49,11 @@
     {
         if (!this->leadership.isLeader())
             return;
-        if (this->checkpoint.isComplete())
-            this->checkpoint.begin(this->tables.unsavedJobs, this->jobsUnderWay());
+        if (!this->watermark.isUnderWay())
+            this->watermark.begin(this->tables.unsavedJobs, this->jobsUnderWay());
         while (this->commitsUnderWay < maxCommits && this->writeNext()) { }
         this->isFlushPending = !this->tables.unsavedJobs.empty();
-        this->finishCheckpoint();
+        this->advanceWatermark();
     }
 
     /// Confirms a write that the watch of the jobs shows as stored, so that it need not wait for an answer that may be
@@ -69,7 +69,7 @@
             return;
         this->leadership.confirm(write.sentAt);
         this->confirm(JobId(found->second), item.revision);
-        this->finishCheckpoint();
+        this->advanceWatermark();
     }
 
 private:
@@ -108,7 +108,7 @@
             if (this->add(commit, id))
                 batch.push_back(id);
             else
-                this->checkpoint.remove(id);
+                this->watermark.remove(id);
         }
         if (batch.empty())
             return false;
@@ -146,7 +146,7 @@
             if (job.state == JobState::Cancelled)
                 commit.removals.push_back(StoreKeys::cancellation(id));
         }
-        this->checkpoint.beginWrite(id);
+        this->watermark.beginWrite(id);
         this->writeOfKey[write.key] = id;
         this->writes[id] = std::move(write);
         return true;
@@ -182,7 +182,7 @@
         if (this->isFlushPending)
             this->flush();
         else
-            this->finishCheckpoint();
+            this->advanceWatermark();
     }
 
     /// Whether the write of a job in this commit has been neither confirmed nor given up.
@@ -233,7 +233,7 @@
     void confirm(const JobId& id, std::int64_t revision)
     {
         bool isEnd = this->forget(id);
-        this->checkpoint.endWrite(id);
+        this->watermark.endWrite(id);
         auto job = this->tables.jobs.find(id);
         if (job == this->tables.jobs.end())
             return;
@@ -252,9 +252,9 @@
         auto job = this->tables.jobs.find(id);
         if (job != this->tables.jobs.end()) {
             this->tables.markUnsaved(job->second);
-            this->checkpoint.repeatWrite(id);
+            this->watermark.repeatWrite(id);
         } else
-            this->checkpoint.remove(id);
+            this->watermark.remove(id);
     }
 
     /// Returns whether the write was that of an ended job.
@@ -287,16 +287,16 @@
         return jobs;
     }
 
-    void finishCheckpoint()
+    void advanceWatermark()
     {
-        if (this->checkpoint.finish())
+        if (this->watermark.advance())
             this->onReportsStored();
     }
 
     Store& store;
     Leadership<Store>& leadership;
     JobTables& tables;
-    ReportCheckpoint checkpoint;
+    ReportWatermark watermark;
     std::function<void(JobRow&)> onStored;
     std::function<void()> onReportsStored;
     std::shared_ptr<bool> alive;
--- a/modules/coordinator/placing/ReportCheckpoint.cpp
+++ b/modules/coordinator/placing/ReportWatermark.cpp
@@ -1,4 +1,4 @@
-#include <coordinator/placing/ReportCheckpoint.h>
+#include <coordinator/placing/ReportWatermark.h>
 
 #include <jobs/tables/JobTables.h>
 
@@ -6,7 +6,7 @@
 
 namespace Greengage {
 
-void ReportCheckpoint::begin(const std::set<JobId>& unsaved, const std::vector<JobId>& underWay)
+void ReportWatermark::begin(const std::set<JobId>& unsaved, const std::vector<JobId>& underWay)
 {
     this->hasBegun = true;
     for (const auto& id : underWay)
@@ -18,28 +18,28 @@
         this->appliedEnds.emplace(id, worker.appliedEnds);
 }
 
-void ReportCheckpoint::beginWrite(const JobId& id)
+void ReportWatermark::beginWrite(const JobId& id)
 {
     if (auto job = this->jobs.find(id); job != this->jobs.end())
         job->second = Phase::UnderWay;
 }
 
-void ReportCheckpoint::endWrite(const JobId& id)
+void ReportWatermark::endWrite(const JobId& id)
 {
     auto job = this->jobs.find(id);
     if (job != this->jobs.end() && job->second == Phase::UnderWay)
         this->jobs.erase(job);
 }
 
-void ReportCheckpoint::repeatWrite(const JobId& id)
+void ReportWatermark::repeatWrite(const JobId& id)
 {
     if (auto job = this->jobs.find(id); job != this->jobs.end())
         job->second = Phase::Unsaved;
 }
 
-void ReportCheckpoint::remove(const JobId& id) { this->jobs.erase(id); }
+void ReportWatermark::remove(const JobId& id) { this->jobs.erase(id); }
 
-bool ReportCheckpoint::finish()
+bool ReportWatermark::advance()
 {
     if (!this->hasBegun || !this->jobs.empty())
         return false;
--- a/modules/coordinator/placing/ReportCheckpoint.h
+++ b/modules/coordinator/placing/ReportWatermark.h
@@ -11,21 +11,21 @@
 
 class JobTables;
 
-/// Decides when workers may forget ends that they reported: once all changes that the reports have caused are stored.
-/// A checkpoint notes the reports that have been applied and the jobs whose changes are not stored yet. It is complete
-/// when each of these jobs has been stored by a write that began after its last change.
-class ReportCheckpoint {
+/// Decides up to which end workers may forget what they reported: all changes that these ends have caused are stored.
+/// Each round notes the ends that have been applied and the jobs whose changes are not stored yet. It is complete when
+/// each of these jobs has been stored by a write that began after its last change.
+class ReportWatermark {
 public:
-    explicit ReportCheckpoint(JobTables& tables)
+    explicit ReportWatermark(JobTables& tables)
         : tables(tables)
     {
     }
 
-    /// Whether no checkpoint has begun since the last one was finished.
-    bool isComplete() const { return !this->hasBegun; }
+    /// Whether a round has begun that is not complete.
+    bool isUnderWay() const { return this->hasBegun; }
 
-    /// Begins a checkpoint with the reports that have been applied by now. `underWay` are the jobs of which a write is
-    /// under way.
+    /// Begins a round with the ends that have been applied by now. `underWay` are the jobs of which a write is under
+    /// way.
     void begin(const std::set<JobId>& unsaved, const std::vector<JobId>& underWay);
 
     /// A write that holds all changes of the job has begun.
@@ -37,9 +37,8 @@
     /// The job does not exist any more.
     void remove(const JobId&);
 
-    /// Finishes the checkpoint if it is complete: workers may forget the ends that it covers. Returns whether it was
-    /// finished.
-    bool finish();
+    /// Ends the round if it is complete: workers may forget the ends that it covers. Returns whether it was complete.
+    bool advance();
 
 private:
     enum class Phase {
