coordinator: pause after a failed write of progress

Change: the next flush, 40 ms later, tries again. The condition for repeating a start order is a function of its own.

--- a/modules/coordinator/fleet/FleetController.h
+++ b/modules/coordinator/fleet/FleetController.h
@@ -139,6 +139,7 @@
         });
     }
 
+    /// Sends an order that is on the stored list.
     void sendMove(const MoveOrder& order)
     {
         this->vmService.move(order.vm, order.to, this->leadership.currentTerm().fencingToken,
@@ -353,7 +354,7 @@
     MaintenanceSystem system;
     PoolSizing sizing;
     VmOrderLog<Store> orderLog;
-    /// When unfenced orders of an earlier leader can no longer take effect; none are sent before.
+    /// When unfenced orders of an earlier leader can no longer take effect. Waves do not go on before.
     Deadline unfencedOrdersFrom;
     Publish publish;
     std::shared_ptr<bool> alive;
--- a/modules/coordinator/placing/OrderSender.h
+++ b/modules/coordinator/placing/OrderSender.h
@@ -77,11 +77,9 @@
     void repeatStarts(Instant now)
     {
         for (auto& [id, worker] : this->tables.workers) {
+            bool mayStart = worker.isListed && !worker.info.draining && !worker.isDrainOrdered;
             for (auto& [task, attempt] : worker.attempts) {
-                bool isUnanswered = attempt.phase == AttemptPhase::Ordered || attempt.phase == AttemptPhase::Unanswered;
-                if (isUnanswered && !attempt.isAnswered && attempt.startOrders < maxStartOrders
-                    && attempt.nextStartOrder.hasPassed(now) && !attempt.orderExpires.hasPassed(now) && worker.isListed
-                    && !worker.info.draining && !worker.isDrainOrdered && this->handlers.mayAct(now))
+                if (mayStart && needsRepetition(attempt, now) && this->handlers.mayAct(now))
                     this->sendStart(worker, attempt, now);
             }
         }
@@ -124,6 +122,14 @@
     /// An accepted stop order is not repeated for this long; the worker reports the end within its own limit for stops.
     static constexpr Milliseconds stopEffectPeriod { 2000 };
 
+    /// Whether the start order is still unanswered and valid, and the worker has had time to answer it.
+    static bool needsRepetition(const Attempt& attempt, Instant now)
+    {
+        bool isUnanswered = attempt.phase == AttemptPhase::Ordered || attempt.phase == AttemptPhase::Unanswered;
+        return isUnanswered && !attempt.isAnswered && attempt.startOrders < maxStartOrders
+            && attempt.nextStartOrder.hasPassed(now) && !attempt.orderExpires.hasPassed(now);
+    }
+
     bool maySend(const WorkerRow& worker, Instant now) const
     {
         return this->handlers.mayAct(now) && PlacementSystem::acceptsTasks(worker, now);
@@ -152,6 +158,7 @@
         this->sendStart(worker, attempt, now);
     }
 
+    /// Sends the start order of an attempt, for the first time or again.
     void sendStart(WorkerRow& worker, Attempt& attempt, Instant now)
     {
         StartAttempt start;
--- a/modules/coordinator/placing/ProgressWriter.h
+++ b/modules/coordinator/placing/ProgressWriter.h
@@ -200,8 +200,8 @@
             if (this->isUnderWay(id, number))
                 this->retry(id);
         }
-        // A store that refuses is given a pause: the next flush tries again.
-        this->isFlushPending = this->isFlushPending || failure != KvFailure::Refused;
+        // A store that fails is given a pause: the next flush tries again.
+        this->isFlushPending = false;
     }
 
     void handleConflict(const Batch& batch, std::uint64_t number, const KvCommitResult& result)
--- a/modules/coordinator/tests/CoordinatorTests.cpp
+++ b/modules/coordinator/tests/CoordinatorTests.cpp
@@ -339,6 +339,28 @@
     BOOST_TEST(this->workers.startedTwice.empty());
 }
 
+/// Load: the store resets each connection at once. Progress is tried again, but not in a loop without pause.
+BOOST_AUTO_TEST_CASE(aStoreThatResetsConnectionsIsNotFlooded)
+{
+    this->first->coordinator.start();
+    BOOST_REQUIRE(this->runUntil([this] { return this->first->coordinator.isLeader(); }));
+    this->second = this->makeDaemon("second", "1");
+    this->submit(*this->second, this->job("warm", 1));
+    BOOST_REQUIRE(this->runUntil([this] { return this->isCompleted("warm"); }));
+    this->first->store.isResetting = true;
+    constexpr std::size_t jobs = 30;
+    for (std::size_t index = 0; index < jobs; ++index)
+        this->submit(*this->second, this->job("j" + std::to_string(index), 1));
+    std::size_t callsBefore = this->first->store.commitCalls;
+    this->runFor(Milliseconds(500));
+    // A commit holds six jobs, and progress is stored every 40 ms. Heartbeats and the like come on top.
+    BOOST_TEST(this->first->store.commitCalls - callsBefore <= (jobs / 6 + 1) * (500 / 40 + 1) + 20);
+    this->first->store.isResetting = false;
+    for (std::size_t index = 0; index < jobs; ++index)
+        BOOST_TEST(this->runUntil([&] { return this->isCompleted("j" + std::to_string(index)); }));
+    BOOST_TEST(this->workers.startedTwice.empty());
+}
+
 /// Guards against a worker that forgets an end whose effect is not stored: the next leader would start the task again.
 BOOST_AUTO_TEST_CASE(anEndIsAcknowledgedOnlyOnceItsEffectIsStored)
 {
--- a/modules/coordinator/tests/MemoryStore.h
+++ b/modules/coordinator/tests/MemoryStore.h
@@ -36,6 +36,10 @@
     bool isUnresponsive = false;
     /// Calls are refused at once.
     bool isRefusing = false;
+    /// Commits fail at once without an answer, as when connections are reset.
+    bool isResetting = false;
+    /// The number of commits that were sent.
+    std::size_t commitCalls = 0;
     /// Delay between a listing and its answer.
     Milliseconds listDelay { 1 };
     /// How many of the next commits are applied without an answer.
@@ -72,6 +76,11 @@
 
     void commit(const KvCommit& commit, KvCommitCallback callback)
     {
+        this->commitCalls += 1;
+        if (this->isResetting) {
+            this->later(Milliseconds(1), [callback = std::move(callback)] { callback(KvFailure::Unanswered); });
+            return;
+        }
         if (this->isUnresponsive || this->isRefusing) {
             this->answer<KvCommitResult>(std::move(callback), [] { return KvCommitResult(); });
             return;
