--- a/review/common/site.py
+++ b/review/common/site.py
@@ -38,6 +38,7 @@
         self.minions = []
         self.daemons = {}
         self.exits = []
+        self.supervisor = None
         self.jobs = {}  # id -> body
         self.running = {}  # task -> {(minion id, life, run)}
         self.begins = []  # (time, task, run, minion)
@@ -224,9 +225,10 @@
         return json.loads(answer[1])["state"]
 
     def end(self):
-        self.supervisor.cancel()
+        if self.supervisor:
+            self.supervisor.cancel()
         for daemon in self.daemons.values():
-            if daemon["process"].poll() is None:
+            if daemon.get("process") and daemon["process"].poll() is None:
                 daemon["process"].send_signal(signal.SIGKILL)
                 daemon["process"].wait()
         self.record("end")
@@ -252,7 +254,8 @@
             site.record("verdict", broken=verdict)
             print("BROKEN: " + verdict if verdict else "held")
             return 1 if verdict else 0
-        except (CannotRun, asyncio.TimeoutError, OSError) as error:
+        # Any error of the case itself says nothing of the system.
+        except Exception as error:
             site.record("cannot_run", error=repr(error))
             print(f"could not run: {error!r}")
             return 2
