coordinator: keep attempts that a restarted worker may run

Cause: the end of a worker's incarnation released every attempt on the worker. The new incarnation accepts start orders that were meant for the former one, since the id is the same, its clock counts from zero and it has seen no fencing token. Orders repeated before the restart was known ran there; so would an order that arrives later.

Evidence: the leader's log had worker_restarted lost=6 at 57.383, starts on the second worker at 57.387 and the six runs found on the first at 58.291. New log lines (task_start_answered; from, to, in_doubt of worker_restarted) show who had accepted them: all six, 259 ms before the restart was known.

A restart now releases only attempts that certainly ended with the former incarnation: not sent, or sent once and listed by its report. The others stay in doubt until the new incarnation lists them, or has accepted an order to stop them and does not list them, or the longest lease that it can hold has expired. A worker refuses a start that it was told to stop, so none can begin later. A restart also asks for a report at once, where the renewal that waited for the dead incarnation held it up.

--- a/modules/coordinator/placing/Coordinator.h
+++ b/modules/coordinator/placing/Coordinator.h
@@ -90,7 +90,7 @@
             writeLog(LogLevel::Info,
                 LogLine("worker_listed").add("worker", info.id.string()).add("pool", info.pool.string()));
         else if (info.incarnationUnixMs > worker.info.incarnationUnixMs)
-            this->session->leases.handleRestart(worker);
+            this->session->leases.handleRestart(worker, info.incarnationUnixMs, BootClock::now());
         else if (info.incarnationUnixMs < worker.info.incarnationUnixMs)
             return;
         if (info.draining && !worker.info.draining)
--- a/modules/coordinator/placing/LeaseManager.h
+++ b/modules/coordinator/placing/LeaseManager.h
@@ -66,13 +66,29 @@
         return span + span * workerClockSlackPercent / 100 + leaseMargin;
     }
 
-    /// Releases all attempts of a worker whose incarnation has ended.
-    void handleRestart(WorkerRow& worker)
+    /// Applies that the worker has started again under its id, as of `incarnationUnixMs`.
+    void handleRestart(WorkerRow& worker, std::int64_t incarnationUnixMs, Instant now)
     {
+        std::size_t earlier = worker.attempts.size();
+        this->tables.restartWorker(worker);
         writeLog(LogLevel::Warning,
-            LogLine("worker_restarted").add("worker", worker.info.id.string()).add("lost", worker.attempts.size()));
-        this->tables.clearWorker(worker);
-        worker.leaseExpires = Deadline();
+            LogLine("worker_restarted")
+                .add("worker", worker.info.id.string())
+                .add("from", worker.info.incarnationUnixMs)
+                .add("to", incarnationUnixMs)
+                .add("lost", earlier - worker.attempts.size())
+                .add("in_doubt", worker.attempts.size() + worker.orphans.size()));
+        worker.info.incarnationUnixMs = incarnationUnixMs;
+        // An order or a renewal that was meant for the former incarnation carries a time on its clock, which may be as
+        // far ahead on the clock of the new one as the longest lease reaches.
+        bool mayRun = !worker.attempts.empty() || !worker.orphans.empty();
+        worker.leaseExpires
+            = mayRun ? Deadline::after(now, longestCall + LeaseManager::longestLease(this->leaseDuration)) : Deadline();
+        // The answer to a renewal under way would tell of the former incarnation.
+        Renewal& renewal = this->renewals[worker.info.id];
+        renewal.number += 1;
+        renewal.isUnderWay = false;
+        renewal.next = Deadline();
     }
 
     WorkerEndpoint endpointOf(const WorkerRow& worker) const
@@ -136,8 +152,12 @@
     static constexpr Milliseconds longestRecordWait { 300 };
     /// Delay before a report is requested again while jobs and workers are still being loaded.
     static constexpr Milliseconds incompleteRetry { 25 };
+    /// A call to a worker is given up after less than this time, and reaches it until then.
+    static constexpr Milliseconds longestCall { 500 };
 
     struct Renewal {
+        /// Counts the renewals sent, so that the answer to one that no longer matters is recognised.
+        std::uint64_t number = 0;
         bool isUnderWay = false;
         bool isProbing = false;
         Deadline next;
@@ -166,16 +186,25 @@
         if (worker.isReached && !worker.isSuspect) {
             order.leaseUntilClockMs = this->clockOf(worker, now) + this->leaseDuration.count();
             this->extendLease(worker, now, this->leaseDuration);
-            order.wait = std::min(longestRenewalWait, this->leaseDuration / renewalsPerLease);
+            if (!LeaseManager::hasAttemptsInDoubt(worker))
+                order.wait = std::min(longestRenewalWait, this->leaseDuration / renewalsPerLease);
         }
         renewal.isUnderWay = true;
-        this->link.renew(
-            this->endpointOf(worker), order, [this, alive = this->alive, id = worker.info.id, now](auto result) {
+        renewal.number += 1;
+        this->link.renew(this->endpointOf(worker), order,
+            [this, alive = this->alive, id = worker.info.id, number = renewal.number, now](auto result) {
                 if (*alive)
-                    this->handleReport(id, now, std::move(result));
+                    this->handleReport(id, number, now, std::move(result));
             });
     }
 
+    static bool hasAttemptsInDoubt(const WorkerRow& worker)
+    {
+        auto isInDoubt = [](const auto& entry) { return entry.second.isInDoubt(); };
+        return std::any_of(worker.attempts.begin(), worker.attempts.end(), isInDoubt)
+            || std::any_of(worker.orphans.begin(), worker.orphans.end(), isInDoubt);
+    }
+
     /// Probes workers with unanswered start orders that have expired, to learn whether the attempts run.
     void probeUnanswered(Instant now)
     {
@@ -190,9 +219,14 @@
         }
     }
 
-    void handleReport(const WorkerId& id, Instant sentAt, Result<WorkerReport, WorkerFailure> result)
+    /// Applies the answer to the renewal with this number.
+    void handleReport(
+        const WorkerId& id, std::uint64_t number, Instant sentAt, Result<WorkerReport, WorkerFailure> result)
     {
-        Renewal& renewal = this->renewals[id];
+        auto found = this->renewals.find(id);
+        if (found == this->renewals.end() || found->second.number != number)
+            return;
+        Renewal& renewal = found->second;
         renewal.isUnderWay = false;
         if (!this->handlers.isComplete()) {
             // Before all jobs and workers are loaded, attempts of jobs that are not loaded yet would look orphaned.
@@ -213,7 +247,7 @@
             return;
         if (report.incarnationUnixMs > worker->info.incarnationUnixMs) {
             if (worker->info.incarnationUnixMs)
-                this->handleRestart(*worker);
+                this->handleRestart(*worker, report.incarnationUnixMs, now);
             worker->info.incarnationUnixMs = report.incarnationUnixMs;
         }
         if (renewal.failures)
@@ -244,7 +278,16 @@
         if (failure == WorkerFailure::Fenced)
             this->handlers.onFenced();
         else if (failure == WorkerFailure::OtherIncarnation)
-            this->handleRestart(worker);
+            this->handleReplacement(worker);
+    }
+
+    /// Another worker listens at the address, so this one has ended. It also refuses the orders that are under way.
+    void handleReplacement(WorkerRow& worker)
+    {
+        writeLog(LogLevel::Warning,
+            LogLine("worker_replaced").add("worker", worker.info.id.string()).add("lost", worker.attempts.size()));
+        this->tables.clearWorker(worker);
+        worker.leaseExpires = Deadline();
     }
 
     /// Releases the attempts of unresponsive workers whose leases have certainly expired.
--- a/modules/coordinator/placing/OrderSender.h
+++ b/modules/coordinator/placing/OrderSender.h
@@ -198,6 +198,11 @@
         Attempt& attempt = found->second;
         Instant now = BootClock::now();
         attempt.startOrdersEnded += 1;
+        OrderSender::logAmbiguousAnswer(order, attempt, outcome);
+        // Either incarnation may have answered, and another copy of the order may be under way: the worker's reports
+        // tell.
+        if (attempt.wasOrderedBeforeRestart && outcome != StartOutcome::Fenced)
+            return;
         if (outcome == StartOutcome::Accepted) {
             attempt.isAnswered = true;
             attempt.confirmedAt = now;
@@ -240,6 +245,22 @@
         this->handlers.onChange();
     }
 
+    /// Logs an answer that may be that of another copy of the order, or of another incarnation of the worker.
+    static void logAmbiguousAnswer(const StartOrder& order, const Attempt& attempt, StartOutcome outcome)
+    {
+        bool isRepeatedOrderAccepted = outcome == StartOutcome::Accepted && attempt.startOrdersSent > 1;
+        if (!isRepeatedOrderAccepted && !attempt.wasOrderedBeforeRestart)
+            return;
+        writeLog(LogLevel::Info,
+            LogLine("task_start_answered")
+                .add("task", order.task.text())
+                .add("run", order.run)
+                .add("worker", order.worker.string())
+                .add("outcome", nameOf(outcome))
+                .add("sent", attempt.startOrdersSent)
+                .add("before_restart", attempt.wasOrderedBeforeRestart));
+    }
+
     void orderStop(WorkerRow& worker, Attempt& attempt, Instant now)
     {
         if (attempt.phase != AttemptPhase::Stopping || attempt.isStopOrderPending
@@ -253,9 +274,10 @@
                 .add("run", attempt.run)
                 .add("worker", worker.info.id.string()));
         this->link.stop(this->leases.endpointOf(worker), { attempt.task, attempt.run, this->token },
-            [this, alive = this->alive, id = worker.info.id, task = attempt.task, run = attempt.run](bool isAccepted) {
+            [this, alive = this->alive, id = worker.info.id, incarnation = worker.info.incarnationUnixMs,
+                task = attempt.task, run = attempt.run](bool isAccepted) {
                 if (*alive)
-                    this->handleStopAnswer(id, task, run, isAccepted);
+                    this->handleStopAnswer(id, incarnation, task, run, isAccepted);
             });
     }
 
@@ -291,7 +313,9 @@
             found->second.speedPercent = *accepted;
     }
 
-    void handleStopAnswer(const WorkerId& id, const TaskName& task, std::uint32_t run, bool isAccepted)
+    /// `incarnation` is the one that the order was sent to; what it accepted binds no later one.
+    void handleStopAnswer(
+        const WorkerId& id, std::int64_t incarnation, const TaskName& task, std::uint32_t run, bool isAccepted)
     {
         WorkerRow* worker = this->tables.findWorker(id);
         if (!worker)
@@ -304,7 +328,7 @@
         if (!attempt)
             return;
         attempt->isStopOrderPending = false;
-        if (!isAccepted)
+        if (!isAccepted || incarnation != worker->info.incarnationUnixMs)
             return;
         // From now on the worker refuses a start order that arrives late.
         attempt->isAnswered = true;
--- a/modules/coordinator/tests/CoordinatorFixture.h
+++ b/modules/coordinator/tests/CoordinatorFixture.h
@@ -46,6 +46,7 @@
         });
     }
 
+    /// What the directory says of workers that have not restarted.
     static std::vector<WorkerInfo> directory()
     {
         std::vector<WorkerInfo> workers;
@@ -54,6 +55,7 @@
             info.id = WorkerId(name);
             info.pool = PoolId("north");
             info.capacity = { 8000, 64'000, 0 };
+            info.incarnationUnixMs = 1;
             workers.push_back(info);
         }
         return workers;
--- a/modules/coordinator/tests/FakeWorkers.h
+++ b/modules/coordinator/tests/FakeWorkers.h
@@ -23,6 +23,9 @@
     };
 
     struct Worker {
+        std::int64_t incarnationUnixMs = 1;
+        /// When the incarnation began; its clock counts from then.
+        std::int64_t startedAtMs = 0;
         std::int64_t fence = 0;
         std::int64_t leaseUntilMs = 0;
         std::map<TaskName, Run> running;
@@ -33,6 +36,9 @@
         std::map<TaskName, std::uint32_t> endedRuns;
     };
 
+    /// The longest lease that a worker grants.
+    static constexpr Milliseconds longestLease { 4000 };
+
     /// How long a task runs.
     Milliseconds taskLength { 100 };
     std::map<WorkerId, Worker> workers;
@@ -54,10 +60,27 @@
         return std::chrono::duration_cast<Milliseconds>(BootClock::now().time_since_epoch()).count();
     }
 
+    static std::int64_t clockOf(const Worker& worker) { return clockMs() - worker.startedAtMs; }
+
+    static void extendLease(Worker& worker, std::int64_t untilMs)
+    {
+        worker.leaseUntilMs = std::max(worker.leaseUntilMs, std::min(untilMs, clockOf(worker) + longestLease.count()));
+    }
+
+    /// Crashes a worker and starts it again under its id. It knows nothing of before, and calls that wait for an answer
+    /// get none.
+    void restart(const WorkerId& id)
+    {
+        std::int64_t earlier = this->workers[id].incarnationUnixMs;
+        this->workers[id] = {};
+        this->workers[id].incarnationUnixMs = earlier + 1;
+        this->workers[id].startedAtMs = clockMs();
+    }
+
     /// Ends the tasks of a worker that are complete by now or whose lease has expired.
     void endDueTasks(Worker& worker)
     {
-        std::int64_t now = clockMs();
+        std::int64_t now = clockOf(worker);
         bool hasLapsed = worker.leaseUntilMs < now;
         for (auto entry = worker.running.begin(); entry != worker.running.end();) {
             bool isDone = entry->second.endsAtMs <= std::min(now, worker.leaseUntilMs);
@@ -101,6 +124,9 @@
     int loseStarts = 0;
     /// How many of the next start orders are carried out without an answer.
     int loseStartAnswers = 0;
+    /// How many of the next start orders are carried out after `lateStartDelay`, without an answer.
+    int lateStarts = 0;
+    Milliseconds lateStartDelay { 0 };
     /// How long the answer to such an order is waited for.
     Milliseconds lostStartTimeout { 2 };
     int loseRenewals = 0;
@@ -110,7 +136,10 @@
         StartOutcome outcome = StartOutcome::NoAnswer;
         if (this->loseStarts > 0)
             this->loseStarts -= 1;
-        else if (!this->unreachable.contains(endpoint.id))
+        else if (this->lateStarts > 0) {
+            this->lateStarts -= 1;
+            after(this->base, this->lateStartDelay, [this, id = endpoint.id, order] { this->apply(id, order); });
+        } else if (!this->unreachable.contains(endpoint.id))
             outcome = this->apply(endpoint.id, order);
         if (this->loseStartAnswers > 0) {
             this->loseStartAnswers -= 1;
@@ -157,14 +186,15 @@
         worker.fence = order.fencingToken;
         this->workers.endDueTasks(worker);
         if (order.leaseUntilClockMs)
-            worker.leaseUntilMs = std::max(worker.leaseUntilMs, *order.leaseUntilClockMs);
+            FakeWorkers::extendLease(worker, *order.leaseUntilClockMs);
         std::erase_if(worker.ended, [&](const EndedAttempt& end) {
             bool isStored = end.number <= order.storedEnds;
             if (isStored && end.kind == EndKind::Done)
                 this->workers.storedAsDone.insert(end.task);
             return isStored;
         });
-        this->reportLater(endpoint.id, Deadline::after(BootClock::now(), order.wait), std::move(callback));
+        this->reportLater(
+            endpoint.id, worker.incarnationUnixMs, Deadline::after(BootClock::now(), order.wait), std::move(callback));
     }
 
 private:
@@ -172,7 +202,7 @@
     {
         auto& worker = this->workers.workers[id];
         this->workers.endDueTasks(worker);
-        std::int64_t now = FakeWorkers::clockMs();
+        std::int64_t now = FakeWorkers::clockOf(worker);
         if (order.fencingToken < worker.fence)
             return StartOutcome::Fenced;
         if (order.validUntilClockMs < now)
@@ -190,23 +220,31 @@
         this->workers.tickets.insert(order.ticket);
         this->workers.startedJobs.insert(order.task.job);
         worker.fence = order.fencingToken;
-        worker.leaseUntilMs = std::max(worker.leaseUntilMs, order.validUntilClockMs);
+        FakeWorkers::extendLease(worker, order.validUntilClockMs);
         worker.running[order.task] = { order.run, now + this->workers.taskLength.count() };
         return StartOutcome::Accepted;
     }
 
-    void reportLater(const WorkerId& id, Deadline until, ReportCallback callback)
+    void reportLater(const WorkerId& id, std::int64_t incarnation, Deadline until, ReportCallback callback)
     {
         auto& worker = this->workers.workers[id];
+        if (worker.incarnationUnixMs != incarnation) {
+            after(this->base,
+                std::chrono::duration_cast<Milliseconds>(until.remaining(BootClock::now())) + Milliseconds(50),
+                [callback = std::move(callback)] { callback(WorkerFailure::NoAnswer); });
+            return;
+        }
         this->workers.endDueTasks(worker);
         if (worker.ended.empty() && !until.hasPassed(BootClock::now())) {
-            after(this->base, Milliseconds(5), [this, id, until, callback = std::move(callback)]() mutable {
-                this->reportLater(id, until, std::move(callback));
-            });
+            after(
+                this->base, Milliseconds(5), [this, id, incarnation, until, callback = std::move(callback)]() mutable {
+                    this->reportLater(id, incarnation, until, std::move(callback));
+                });
             return;
         }
         WorkerReport report;
-        report.clockMs = FakeWorkers::clockMs();
+        report.clockMs = FakeWorkers::clockOf(worker);
+        report.incarnationUnixMs = incarnation;
         for (const auto& [task, run] : worker.running)
             report.running.push_back({ task, run.run, {}, 100, 0 });
         report.ended = worker.ended;
--- /dev/null
+++ b/modules/coordinator/tests/WorkerRestartTests.cpp
@@ -0,0 +1,113 @@
+#include <coordinator/tests/CoordinatorFixture.h>
+
+#include <boost/test/unit_test.hpp>
+
+using namespace Greengage;
+
+namespace {
+
+/// Workers that crash and start again under their ids.
+struct RestartFixture : CoordinatorFixture {
+    RestartFixture()
+    {
+        this->workers.taskLength = Milliseconds(1000);
+        this->first->coordinator.start();
+        this->runUntil([this] { return this->first->coordinator.isLeader(); });
+        this->submit(*this->first, this->job("warm", 1));
+        this->runUntil([this] { return this->isCompleted("warm"); });
+        this->first->link.lostStartTimeout = Milliseconds(400);
+    }
+
+    void restartWorkers()
+    {
+        for (const auto& info : FakeDaemon::directory())
+            this->workers.restart(info.id);
+    }
+
+    /// Has the workers write their entries again, as they do a while after their start.
+    void listWorkers()
+    {
+        for (auto info : FakeDaemon::directory()) {
+            info.incarnationUnixMs = this->workers.workers[info.id].incarnationUnixMs;
+            this->first->coordinator.updateWorker(info);
+        }
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(WorkerRestarts, RestartFixture)
+
+/// Guards against a task that runs twice at once: a crashed worker, started again under its id, carries out start
+/// orders that were repeated before its restart was known.
+BOOST_AUTO_TEST_CASE(tasksThatTheNewIncarnationRunsAreNotStartedElsewhere)
+{
+    this->first->link.loseStarts = 4;
+    this->submit(*this->first, this->job("j", 4));
+    BOOST_REQUIRE(this->runUntil([this] { return this->first->link.loseStarts == 0; }));
+    this->restartWorkers();
+    BOOST_REQUIRE(this->runUntil([this] { return this->workers.starts == 5U; }));
+    this->listWorkers();
+    BOOST_TEST(this->runUntil([this] { return this->isCompleted("j"); }));
+    BOOST_TEST(this->workers.startedTwice.empty());
+    BOOST_TEST(this->workers.starts == 5U);
+}
+
+/// Guards against the same when the restart is seen in a report, before the entry is written.
+BOOST_AUTO_TEST_CASE(tasksAreNotStartedElsewhereIfAReportShowsTheRestart)
+{
+    this->first->link.loseStarts = 4;
+    this->submit(*this->first, this->job("j", 4));
+    BOOST_REQUIRE(this->runUntil([this] { return this->first->link.loseStarts == 0; }));
+    this->restartWorkers();
+    BOOST_TEST(this->runUntil([this] { return this->isCompleted("j"); }));
+    BOOST_TEST(this->workers.startedTwice.empty());
+    BOOST_TEST(this->workers.starts == 5U);
+}
+
+/// Guards against a task that runs twice at once: an order sent before the restart is carried out by the new
+/// incarnation after the restart is known.
+BOOST_AUTO_TEST_CASE(anOrderThatTheNewIncarnationReceivesLateStartsNoTaskASecondTime)
+{
+    this->first->link.lateStarts = 4;
+    this->first->link.lateStartDelay = Milliseconds(250);
+    this->submit(*this->first, this->job("j", 4));
+    BOOST_REQUIRE(this->runUntil([this] { return this->first->link.lateStarts == 0; }));
+    this->restartWorkers();
+    this->listWorkers();
+    BOOST_TEST(this->runUntil([this] { return this->isCompleted("j"); }));
+    BOOST_TEST(this->workers.startedTwice.empty());
+}
+
+/// Guards against a task that runs twice at once: the new incarnation is cut off while it runs a task under a lease
+/// that an order with a time on the former clock has extended to the longest one.
+BOOST_AUTO_TEST_CASE(tasksInDoubtStartElsewhereOnlyAfterTheLongestLease)
+{
+    this->workers.taskLength = Milliseconds(3500);
+    this->first->link.loseStarts = 4;
+    this->submit(*this->first, this->job("j", 4));
+    BOOST_REQUIRE(this->runUntil([this] { return this->first->link.loseStarts == 0; }));
+    this->restartWorkers();
+    BOOST_REQUIRE(this->runUntil([this] { return this->workers.starts == 5U; }));
+    this->first->link.unreachable = { this->busiestWorker() };
+    this->listWorkers();
+    BOOST_TEST(this->runUntil([this] { return this->isCompleted("j"); }, Milliseconds(15'000)));
+    BOOST_TEST(this->workers.startedTwice.empty());
+}
+
+/// A task that the former incarnation has reported as running has ended with it, and starts again at once.
+BOOST_AUTO_TEST_CASE(tasksThatTheFormerIncarnationRanStartAgainAtOnce)
+{
+    this->workers.taskLength = Milliseconds(20'000);
+    this->submit(*this->first, this->job("j", 4));
+    BOOST_REQUIRE(this->runUntil([this] { return this->workers.starts == 5U; }));
+    this->runFor(Milliseconds(1500));
+    this->workers.taskLength = Milliseconds(100);
+    this->restartWorkers();
+    this->listWorkers();
+    BOOST_TEST(this->runUntil([this] { return this->workers.starts == 9U; }, Milliseconds(300)));
+    BOOST_TEST(this->runUntil([this] { return this->isCompleted("j"); }));
+    BOOST_TEST(this->workers.startedTwice.empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/modules/jobs/systems/ReportSystem.cpp
+++ b/modules/jobs/systems/ReportSystem.cpp
@@ -66,8 +66,7 @@
 {
     this->recordEvent(eventKindOf(end.kind), end.task, end.run, worker);
     if (auto orphan = worker.orphans.find({ end.task, end.run }); orphan != worker.orphans.end()) {
-        worker.occupied -= orphan->second.occupied;
-        this->tables.usage[orphan->second.team] -= orphan->second.charged;
+        this->tables.releaseOrphan(worker, orphan->second);
         worker.orphans.erase(orphan);
     }
     auto job = this->tables.jobs.find(end.task.job);
@@ -121,11 +120,14 @@
         if (attempt.phase != AttemptPhase::Stopping)
             attempt.phase = AttemptPhase::Running;
         attempt.isAnswered = true;
+        attempt.isListed = true;
         attempt.confirmedAt = now;
         applyFigures(attempt, running);
         return;
     }
     if (auto orphan = worker.orphans.find({ running.task, running.run }); orphan != worker.orphans.end()) {
+        orphan->second.isAnswered = true;
+        orphan->second.isListed = true;
         orphan->second.confirmedAt = now;
         return;
     }
@@ -143,6 +145,7 @@
         return false;
     Attempt& attempt = this->tables.beginAttempt(worker, job, running.task, running.run, AttemptPhase::Running, now);
     attempt.isAnswered = true;
+    attempt.isListed = true;
     applyFigures(attempt, running);
     attempt.wantedSpeedPercent = running.speedPercent;
     this->recordEvent(AttemptEventKind::Adopted, running.task, running.run, worker);
@@ -156,6 +159,7 @@
     orphan.run = running.run;
     orphan.phase = AttemptPhase::Stopping;
     orphan.isAnswered = true;
+    orphan.isListed = true;
     orphan.confirmedAt = now;
     if (const StepSpec* step = this->tables.findStep(running.task)) {
         orphan.team = this->tables.jobs.at(running.task.job).record.team;
@@ -181,9 +185,11 @@
             && !listed.contains({ attempt.task, attempt.run });
     };
     std::vector<TaskName> lost;
-    for (const auto& [task, attempt] : worker.attempts) {
+    for (auto& [task, attempt] : worker.attempts) {
         if (isLost(attempt))
             lost.push_back(task);
+        else if (attempt.isInDoubt() && attempt.confirmedAt < sentAt)
+            attempt.phase = AttemptPhase::Stopping; // Only then does the worker refuse a start order that comes late.
     }
     for (const auto& task : lost) {
         this->recordEvent(AttemptEventKind::Lost, task, worker.attempts.at(task).run, worker);
@@ -192,8 +198,7 @@
     std::erase_if(worker.orphans, [&](const auto& entry) {
         if (!isLost(entry.second))
             return false;
-        worker.occupied -= entry.second.occupied;
-        this->tables.usage[entry.second.team] -= entry.second.charged;
+        this->tables.releaseOrphan(worker, entry.second);
         return true;
     });
 }
--- a/modules/jobs/tables/Attempt.h
+++ b/modules/jobs/tables/Attempt.h
@@ -66,6 +66,23 @@
 
     /// Whether the worker is known to have carried out the start order.
     bool isAnswered = false;
+    /// Whether a report of the worker's current incarnation has listed the attempt.
+    bool isListed = false;
+    /// The worker has started again since the start order was sent. The new incarnation may run the attempt, or start
+    /// it late, until it has accepted an order to stop it.
+    bool wasOrderedBeforeRestart = false;
+
+    /// Whether the attempt has certainly ended if the worker's incarnation has: no start order was sent, or the only
+    /// one was carried out by that incarnation.
+    bool endsWithIncarnation() const
+    {
+        return !this->mayHaveBeenSent() || (this->startOrdersSent == 1 && this->isListed);
+    }
+
+    /// Whether only a report of the worker's new incarnation, or an accepted order to stop, can tell what became of the
+    /// attempt.
+    bool isInDoubt() const { return this->wasOrderedBeforeRestart && !this->isListed; }
+
     bool isBestEffort = false;
     /// Target for the tail of the response times; zero if the attempt is not latency-sensitive.
     Milliseconds tailTarget { 0 };
--- a/modules/jobs/tables/JobTables.cpp
+++ b/modules/jobs/tables/JobTables.cpp
@@ -20,6 +20,30 @@
     return occurrences;
 }
 
+/// Resets what the leader knows of the worker's former incarnation, apart from its attempts.
+void forgetIncarnation(WorkerRow& worker)
+{
+    worker.appliedEnds = 0;
+    worker.storedEnds = 0;
+    worker.isReached = false;
+}
+
+/// Keeps an attempt whose start order may reach the worker's new incarnation. Its order does not expire, since it was
+/// valid until a time on the clock of the former incarnation, and is not repeated.
+void leaveInDoubt(Attempt& attempt)
+{
+    if (attempt.phase != AttemptPhase::Stopping)
+        attempt.phase = AttemptPhase::Unanswered;
+    attempt.wasOrderedBeforeRestart = true;
+    attempt.isListed = false;
+    attempt.isAnswered = false;
+    attempt.orderExpires = Deadline::never();
+    attempt.nextStartOrder = Deadline::never();
+    attempt.isStopOrderPending = false;
+    attempt.nextStopOrder = Deadline();
+    attempt.isSpeedOrderPending = false;
+}
+
 } // namespace
 
 bool JobTables::addJob(JobRecord record, const JobProgress& progress)
@@ -247,12 +271,39 @@
         this->releaseAttempt(worker, task);
     }
     for (const auto& [key, orphan] : worker.orphans)
-        this->usage[orphan.team] -= orphan.charged;
+        this->releaseOrphan(worker, orphan);
     worker.orphans.clear();
     worker.occupied = {};
-    worker.appliedEnds = 0;
-    worker.storedEnds = 0;
-    worker.isReached = false;
+    forgetIncarnation(worker);
+}
+
+void JobTables::restartWorker(WorkerRow& worker)
+{
+    std::vector<TaskName> ended;
+    for (auto& [task, attempt] : worker.attempts) {
+        if (attempt.endsWithIncarnation())
+            ended.push_back(task);
+        else
+            leaveInDoubt(attempt);
+    }
+    for (const auto& task : ended)
+        this->releaseAttempt(worker, task);
+    for (auto entry = worker.orphans.begin(); entry != worker.orphans.end();) {
+        if (entry->second.endsWithIncarnation()) {
+            this->releaseOrphan(worker, entry->second);
+            entry = worker.orphans.erase(entry);
+        } else {
+            leaveInDoubt(entry->second);
+            ++entry;
+        }
+    }
+    forgetIncarnation(worker);
+}
+
+void JobTables::releaseOrphan(WorkerRow& worker, const Attempt& orphan)
+{
+    worker.occupied -= orphan.occupied;
+    this->usage[orphan.team] -= orphan.charged;
 }
 
 JobProgress JobTables::progressOf(const JobRow& job) const
--- a/modules/jobs/tables/JobTables.h
+++ b/modules/jobs/tables/JobTables.h
@@ -62,6 +62,9 @@
     /// Removes an attempt. Its task waits again unless it is done.
     void releaseAttempt(WorkerRow&, const TaskName&);
 
+    /// Subtracts what an orphaned attempt occupies. The caller removes it from the worker's orphans.
+    void releaseOrphan(WorkerRow&, const Attempt& orphan);
+
     /// Removes a ticket that the worker refused, so that the advice service is asked again.
     void dropTicket(const TaskName&, const WorkerId&);
 
@@ -75,9 +78,14 @@
     /// Marks the stored progress of the job as out of date.
     void markUnsaved(JobRow&);
 
-    /// Releases all attempts of a worker whose incarnation has ended, and resets its record of reported ends.
+    /// Releases all attempts of a worker that can run none of them any more, and resets its record of reported ends.
     void clearWorker(WorkerRow&);
 
+    /// The worker has started again under its id. Releases the attempts that have ended with its former incarnation and
+    /// resets its record of reported ends. The other attempts stay: the new incarnation may have received their start
+    /// orders, or may still do so.
+    void restartWorker(WorkerRow&);
+
     /// Returns the progress of the job that has to be stored.
     JobProgress progressOf(const JobRow&) const;
 
--- a/modules/jobs/tests/JobTablesTests.cpp
+++ b/modules/jobs/tests/JobTablesTests.cpp
@@ -99,6 +99,44 @@
     BOOST_TEST(this->tables.usage[TeamId("bakers")].cpuMillis == 0);
 }
 
+/// Guards against a task that runs twice at once: after a restart of the worker, an attempt is released although the
+/// new incarnation may have received one of its start orders.
+BOOST_AUTO_TEST_CASE(aRestartReleasesOnlyTheAttemptsThatCertainlyEnded)
+{
+    WorkerRow& worker = this->addWorker("w1");
+    JobRow& job = this->addJob("j", { step(5, 1000) });
+    this->placeAndRun();
+    auto attempt = [&](std::uint32_t index) -> Attempt& { return worker.attempts.at(task("j", 0, index)); };
+    for (auto& [name, sent] : worker.attempts) {
+        sent.startOrdersSent = 1;
+        sent.isListed = true;
+    }
+    attempt(1).isListed = false;
+    attempt(2).startOrdersSent = 2;
+    // Ordered by an earlier leader, which may have sent any number of orders.
+    attempt(3).startOrdersSent = 0;
+    attempt(4).phase = AttemptPhase::Planned;
+    this->tables.restartWorker(worker);
+    BOOST_TEST(!worker.attempts.contains(task("j", 0, 0)));
+    BOOST_TEST(!worker.attempts.contains(task("j", 0, 4)));
+    BOOST_REQUIRE(worker.attempts.size() == 3U);
+    for (const auto& [name, kept] : worker.attempts)
+        BOOST_TEST((kept.phase == AttemptPhase::Unanswered && kept.isInDoubt()));
+    BOOST_TEST(worker.occupied.cpuMillis == 3000);
+    BOOST_TEST(this->tables.usage[TeamId("bakers")].cpuMillis == 3000);
+    BOOST_TEST(!worker.isReached);
+
+    // An orphaned attempt is kept for the same reason.
+    this->tables.endJob(job, JobState::Cancelled);
+    this->tables.removeJob(JobId("j"));
+    this->tables.restartWorker(worker);
+    BOOST_TEST(worker.orphans.size() == 3U);
+    BOOST_TEST(worker.occupied.cpuMillis == 3000);
+    this->tables.clearWorker(worker);
+    BOOST_TEST(worker.occupied.cpuMillis == 0);
+    BOOST_TEST(this->tables.usage[TeamId("bakers")].cpuMillis == 0);
+}
+
 /// `removeJob` takes the id by value, since callers pass the id in the row that it erases. By reference, it would read
 /// the id of an erased row.
 BOOST_AUTO_TEST_CASE(aForgottenJobIsNotAddedAgain)
--- a/modules/jobs/tests/ReportTests.cpp
+++ b/modules/jobs/tests/ReportTests.cpp
@@ -64,6 +64,37 @@
     BOOST_TEST(!worker.attempts.contains(task("j", 0, 0)));
 }
 
+/// Guards against a start order that a restarted worker carries out after the task was started elsewhere.
+BOOST_AUTO_TEST_CASE(anAttemptInDoubtIsReleasedOnlyOnceTheNewIncarnationHasAcceptedItsStop)
+{
+    WorkerRow& worker = this->addWorker("w1");
+    this->addJob("j", { step(1, 1000) });
+    this->placeAndRun();
+    this->tables.restartWorker(worker);
+    this->advance(PlacementSystem::orderValidFor * 10);
+    this->report(worker, {});
+    Attempt& attempt = worker.attempts.at(task("j", 0, 0));
+    BOOST_TEST((attempt.phase == AttemptPhase::Stopping));
+    this->report(worker, {});
+    BOOST_TEST(worker.attempts.contains(task("j", 0, 0)));
+    attempt.isAnswered = true;
+    attempt.confirmedAt = this->now;
+    this->report(worker, {});
+    BOOST_TEST(!worker.attempts.contains(task("j", 0, 0)));
+    BOOST_TEST(this->place().size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(anAttemptInDoubtThatTheNewIncarnationListsGoesOn)
+{
+    WorkerRow& worker = this->addWorker("w1");
+    this->addJob("j", { step(1, 1000) });
+    this->placeAndRun();
+    this->tables.restartWorker(worker);
+    this->report(worker, this->fullReport(worker));
+    BOOST_TEST((worker.attempts.at(task("j", 0, 0)).phase == AttemptPhase::Running));
+    BOOST_TEST(this->place().empty());
+}
+
 BOOST_AUTO_TEST_CASE(aReportSaysNothingAboutAnAttemptConfirmedAfterItsRequest)
 {
     WorkerRow& worker = this->addWorker("w1");
