fleet: forget a move that had no effect, so that its worker gets tasks again

Cause: WorkerRow::isDrainOrdered was set with the order, and only an answer that refused the order cleared it. The worker was then excluded from placement, from the measured load and from further moves. Maintenance and moves shared the flag, so neither could end without the other.

Evidence: seven move_ordered, seven move_answered outcome=no_answer, listings from 3 s later on, and no further line about these VMs; the pool was grown from the spare pool instead.

Moves have a flag of their own now, which MoveTracker ends by what a listing shows: one that was requested when the order could take effect no more, and has the same worker in the same pool. It is logged as move_without_effect. The drain of a VM ends with its maintenance, also if its worker starts again under its id. Both systems ask WorkerRow::isLeaving.

The daemon of VmOrderTests is now in FleetFixture.h, its checks as they were.

--- a/modules/coordinator/fleet/FleetController.h
+++ b/modules/coordinator/fleet/FleetController.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <coordinator/fleet/MoveTracker.h>
 #include <coordinator/fleet/VmOrderList.h>
 #include <coordinator/fleet/VmService.h>
 #include <coordinator/fleet/WaveRecord.h>
@@ -35,6 +36,7 @@
         , tables(tables)
         , system(tables)
         , sizing(tables)
+        , moves(tables)
         , orderList(store, leadership, leadership.currentTerm().epoch, unfencedOrdersFrom, turnPeriod)
         , unfencedOrdersFrom(unfencedOrdersFrom)
         , publish(std::move(publish))
@@ -96,7 +98,8 @@
     static constexpr Milliseconds sizingPeriod { 100 };
     /// A VM whose maintenance was ordered counts as down for this long, whatever an older listing says.
     static constexpr Milliseconds orderedDownPeriod { 2500 };
-    /// A VM that was ordered into a pool counts as arriving there for this long.
+    /// A VM that was ordered into a pool counts as arriving there for this long. The order takes effect until then or
+    /// not at all.
     static constexpr Milliseconds arrivalLimit { 3000 };
     static constexpr Milliseconds retryPause { 400 };
 
@@ -123,6 +126,7 @@
     void move(const MoveOrder& order, Instant now)
     {
         this->pendingOrders.insert(order.vm);
+        this->moves.begin(this->fleet.at(order.vm));
         this->arrivingVms[order.vm] = { order.to, Deadline::after(now, arrivalLimit) };
         writeLog(LogLevel::Info,
             LogLine("move_ordered")
@@ -161,6 +165,8 @@
             this->leadership.stepDown("a machine has seen a higher fencing token");
             return;
         }
+        if (outcome == VmOrderOutcome::Accepted || outcome == VmOrderOutcome::NoAnswer)
+            this->moves.settleBy(order.vm, Deadline::after(now, arrivalLimit));
         if (outcome == VmOrderOutcome::Accepted) {
             this->arrivingVms[order.vm] = { order.to, Deadline::after(now, arrivalLimit) };
             return;
@@ -168,13 +174,8 @@
         this->retryFrom[order.vm] = Deadline::after(now, retryPause);
         if (outcome == VmOrderOutcome::NoAnswer)
             return;
-        // The VM stays in its pool, so its worker accepts tasks again.
         this->arrivingVms.erase(order.vm);
-        auto info = this->fleet.find(order.vm);
-        if (info == this->fleet.end())
-            return;
-        if (auto* worker = this->tables.findWorker(info->second.worker))
-            worker->isDrainOrdered = false;
+        this->moves.cancel(order.vm);
     }
 
     void tickWaves(const std::map<std::int64_t, MaintenanceWave>& waves, Instant now)
@@ -271,6 +272,7 @@
                     this->arrivingVms.erase(arrival);
                 this->fleet[info.id] = info;
             }
+            this->moves.settle(this->fleet, now);
         });
     }
 
@@ -354,6 +356,7 @@
     JobTables& tables;
     MaintenanceSystem system;
     PoolSizing sizing;
+    MoveTracker moves;
     VmOrderList<Store> orderList;
     /// When unfenced orders of an earlier leader can no longer take effect. Waves do not go on before.
     Deadline unfencedOrdersFrom;
--- a/modules/coordinator/placing/OrderSender.h
+++ b/modules/coordinator/placing/OrderSender.h
@@ -77,7 +77,7 @@
     void repeatStarts(Instant now)
     {
         for (auto& [id, worker] : this->tables.workers) {
-            bool mayStart = worker.isListed && !worker.info.draining && !worker.isDrainOrdered;
+            bool mayStart = worker.isListed && !worker.isLeaving();
             for (auto& [task, attempt] : worker.attempts) {
                 if (!mayStart || !needsRepetition(attempt, now) || !this->handlers.mayAct(BootClock::now()))
                     continue;
--- a/modules/coordinator/tests/FakeFleet.h
+++ b/modules/coordinator/tests/FakeFleet.h
@@ -35,9 +35,18 @@
 
     /// What the next orders are answered with.
     VmOrderOutcome outcome = VmOrderOutcome::Accepted;
+    /// Whether accepted moves are carried out.
+    bool isObedient = true;
+    /// Listings fail.
+    bool isListFailing = false;
 
     void list(VmListCallback callback)
     {
+        if (this->isListFailing) {
+            after(this->base, Milliseconds(1),
+                [callback = std::move(callback)] { callback(VmOrderOutcome::Unavailable); });
+            return;
+        }
         std::vector<VmInfo> listed;
         for (const auto& [id, info] : this->fleet.vms)
             listed.push_back(info);
@@ -51,7 +60,7 @@
 
     void move(const VmId& vm, const PoolId& pool, std::int64_t token, VmOrderCallback callback)
     {
-        if (this->outcome == VmOrderOutcome::Accepted)
+        if (this->outcome == VmOrderOutcome::Accepted && this->isObedient)
             this->fleet.vms.at(vm).pool = pool;
         this->obey(vm, token, std::move(callback));
     }
--- a/modules/coordinator/tests/VmOrderTests.cpp
+++ b/modules/coordinator/tests/VmOrderTests.cpp
@@ -1,8 +1,5 @@
-#include <coordinator/fleet/FleetController.h>
 #include <coordinator/fleet/VmOrderList.h>
-#include <coordinator/tests/FakeFleet.h>
-#include <coordinator/tests/LoopFixture.h>
-#include <coordinator/tests/MemoryStore.h>
+#include <coordinator/tests/FleetFixture.h>
 
 #include <boost/test/unit_test.hpp>
 #include <memory>
@@ -11,78 +8,11 @@
 
 namespace {
 
-constexpr Milliseconds earlierOrders { 3000 };
-
-/// A daemon that, as leader, sizes the pools of the shared fleet.
-struct FleetDaemon {
-    FleetDaemon(event_base& base, MemoryTables& tables, FakeFleet& fleet, const char* name)
-        : base(base)
-        , store(base, tables)
-        , link(base, fleet)
-        , leadership(base, this->store, DaemonId(name), IncarnationId(name), 1000,
-              { [this](const Term& term) { this->begin(term); }, [this] { this->end(); },
-                  [] { return std::string("{}"); }, [](const std::string&) {} })
-        , timer(base, [this] { this->tick(); })
-    {
-        auto policies = std::make_shared<JobPolicies>();
-        policies->pools[PoolId("north")] = { PoolId("north"), false, true };
-        policies->pools[PoolId("off")] = { PoolId("off"), true, true };
-        this->jobs.policies = policies;
-        this->leadership.start();
-    }
-
-    void begin(const Term& term)
-    {
-        this->wonAt = BootClock::now();
-        this->token = term.fencingToken;
-        this->controller = std::make_unique<FleetController<MemoryStore, FakeFleetLink>>(this->store, this->link,
-            this->leadership, this->jobs, Deadline::after(this->wonAt, earlierOrders), earlierOrders,
-            [](std::int64_t, bool, KvCommit&) {});
-        this->timer.schedule(Microseconds(0));
-    }
-
-    void end()
-    {
-        this->controller->close();
-        this->ended = std::move(this->controller);
-    }
-
-    void tick()
-    {
-        if (!this->controller)
-            return;
-        this->controller->tick({}, BootClock::now());
-        this->timer.schedule(Milliseconds(20));
-    }
-
-    event_base& base;
-    MemoryStore store;
-    FakeFleetLink link;
-    JobTables jobs;
-    std::unique_ptr<FleetController<MemoryStore, FakeFleetLink>> controller;
-    std::unique_ptr<FleetController<MemoryStore, FakeFleetLink>> ended;
-    Instant wonAt;
-    std::int64_t token = 0;
-    Leadership<MemoryStore> leadership;
-    Timer timer;
-};
-
-struct VmOrderFixture : LoopFixture {
+struct VmOrderFixture : FleetFixture {
     VmOrderFixture()
     {
-        for (int index = 0; index < 6; ++index) {
-            VmInfo info;
-            info.id = VmId("m" + std::to_string(index));
-            info.pool = PoolId("off");
-            info.state = VmPhase::Up;
-            info.capacity = { 8000, 64'000, 0 };
-            this->fleet.vms[info.id] = info;
-        }
-    }
-
-    std::unique_ptr<FleetDaemon> start(const char* name)
-    {
-        return std::make_unique<FleetDaemon>(*this->base, this->tables, this->fleet, name);
+        for (int index = 0; index < 6; ++index)
+            this->addVm("m" + std::to_string(index), "off");
     }
 
     /// Checks that the successor of leader 3 sends no order until none of that leader's can take effect, if this text
@@ -115,11 +45,6 @@
         auto item = this->tables.items.find(StoreKeys::vmOrders);
         return item == this->tables.items.end() ? std::nullopt : VmOrderRecord::decode(item->second.value);
     }
-
-    MemoryTables tables;
-    FakeFleet fleet;
-    std::unique_ptr<FleetDaemon> first;
-    std::unique_ptr<FleetDaemon> second;
 };
 
 } // namespace
--- a/modules/jobs/systems/MaintenanceSystem.cpp
+++ b/modules/jobs/systems/MaintenanceSystem.cpp
@@ -34,9 +34,16 @@
             down += 1;
             continue;
         }
-        if (wave.done.contains(id) || info->second.state != VmPhase::Up)
+        if (info->second.state != VmPhase::Up)
             continue;
         WorkerRow* worker = this->tables.findWorker(info->second.worker);
+        if (wave.done.contains(id)) {
+            if (worker)
+                this->endDrain(*worker);
+            continue;
+        }
+        if (worker && worker->isMoveOrdered)
+            continue;
         bool isDraining = worker && worker->isDrainOrdered;
         candidates.push_back({ isDraining, worker ? worker->attempts.size() : 0, id, worker });
     }
@@ -77,6 +84,12 @@
     this->drainStartedAt.clear();
 }
 
+void MaintenanceSystem::endDrain(WorkerRow& worker)
+{
+    if (this->drainStartedAt.erase(worker.info.id))
+        worker.isDrainOrdered = false;
+}
+
 void MaintenanceSystem::drain(WorkerRow& worker, Instant since, Instant now)
 {
     bool isOverdue = now - since >= drainTimeout;
--- a/modules/jobs/systems/PlacementSystem.cpp
+++ b/modules/jobs/systems/PlacementSystem.cpp
@@ -35,8 +35,8 @@
 
 bool PlacementSystem::acceptsTasks(const WorkerRow& worker, Instant now)
 {
-    return worker.isListed && worker.isOnRoster && worker.isReached && !worker.isSuspect && !worker.info.draining
-        && !worker.isDrainOrdered && worker.quarantinedUntil.hasPassed(now);
+    return worker.isListed && worker.isOnRoster && worker.isReached && !worker.isSuspect && !worker.isLeaving()
+        && worker.quarantinedUntil.hasPassed(now);
 }
 
 bool PlacementSystem::canHost(const WorkerRow& worker, const StepSpec& step)
--- a/modules/jobs/systems/PoolLoad.cpp
+++ b/modules/jobs/systems/PoolLoad.cpp
@@ -33,7 +33,7 @@
 {
     std::map<PoolId, PoolLoad> loads;
     for (const auto& [id, worker] : tables.workers) {
-        if (!worker.isListed || worker.info.draining || worker.isDrainOrdered)
+        if (!worker.isListed || worker.isLeaving())
             continue;
         PoolLoad& load = loads[worker.info.pool];
         load.workers += 1;
--- a/modules/jobs/systems/PoolSizing.cpp
+++ b/modules/jobs/systems/PoolSizing.cpp
@@ -66,10 +66,6 @@
     std::vector<MoveOrder> orders;
     this->growPools(needs, spare, sparePool->first, orders);
     this->releaseIdleVms(needs, sparePool->first, now, orders);
-    for (const auto& order : orders) {
-        if (auto* worker = this->tables.findWorker(vms.at(order.vm).worker))
-            worker->isDrainOrdered = true;
-    }
     return orders;
 }
 
@@ -84,7 +80,7 @@
         if (policy == this->tables.policies->pools.end() || policy->second.spare || info.state != VmPhase::Up)
             continue;
         const WorkerRow* worker = this->tables.findWorker(info.worker);
-        if (busy.contains(id) || (worker && (worker->isDrainOrdered || worker->info.draining)))
+        if (busy.contains(id) || (worker && worker->isLeaving()))
             continue;
         Need& need = needs[info.pool];
         need.current += 1;
--- a/modules/jobs/tables/WorkerRow.h
+++ b/modules/jobs/tables/WorkerRow.h
@@ -39,8 +39,14 @@
     std::uint32_t consecutiveFailures = 0;
     /// A call to the worker got no answer. No attempt starts on it until it reports again.
     bool isSuspect = false;
-    /// The VM is being drained: no attempt starts on it, and long-running tasks move away.
+    /// The VM is being drained for maintenance: no attempt starts on it, and long-running tasks move away.
     bool isDrainOrdered = false;
+    /// The VM was ordered into another pool, and it is not known yet what became of the order.
+    bool isMoveOrdered = false;
+
+    /// Whether no attempt may start on the worker, because it shuts down or its VM is about to be taken down.
+    bool isLeaving() const { return this->info.draining || this->isDrainOrdered || this->isMoveOrdered; }
+
     /// The worker's clock at `clockReadAt`, in milliseconds.
     std::int64_t clockMs = 0;
     Instant clockReadAt;
--- a/modules/jobs/tests/PlacementTests.cpp
+++ b/modules/jobs/tests/PlacementTests.cpp
@@ -73,6 +73,7 @@
     this->addWorker("unreached").isReached = false;
     this->addWorker("unrecorded").isOnRoster = false;
     this->addWorker("being-drained").isDrainOrdered = true;
+    this->addWorker("being-moved").isMoveOrdered = true;
     this->addWorker("other", "south");
     this->addJob("j", { step(1, 100) });
     BOOST_TEST(this->place().empty());
--- a/modules/jobs/tests/SizingTests.cpp
+++ b/modules/jobs/tests/SizingTests.cpp
@@ -193,6 +193,29 @@
     BOOST_TEST(this->maintenance.advance(wave, this->vms, down, this->now).empty());
 }
 
+/// Guards against a worker that stays without tasks until the end of the wave: it was drained, and starts again under
+/// its id after the maintenance.
+BOOST_AUTO_TEST_CASE(theDrainOfAVmEndsWithItsMaintenance)
+{
+    MaintenanceWave wave;
+    wave.number = 1;
+    wave.dueBy = Deadline::after(this->now, Seconds(30));
+    for (const char* name : { "n0", "n1" }) {
+        this->addVm(name, "north");
+        wave.vms.emplace_back(name);
+    }
+    auto ready = this->maintenance.advance(wave, this->vms, {}, this->now);
+    BOOST_REQUIRE(ready.size() == 1U);
+    WorkerRow& worker = this->tables.workers.at(WorkerId("w-" + ready.front().string()));
+    BOOST_TEST(worker.isDrainOrdered);
+    wave.done.insert(ready.front());
+    std::map<VmId, Deadline> down { { ready.front(), Deadline::after(this->now, Seconds(2)) } };
+    this->maintenance.advance(wave, this->vms, down, this->now);
+    BOOST_TEST(worker.isDrainOrdered);
+    BOOST_TEST(this->maintenance.advance(wave, this->vms, {}, this->now).size() == 1U);
+    BOOST_TEST(!worker.isDrainOrdered);
+}
+
 BOOST_AUTO_TEST_CASE(aWaveMakesNoMoreTasksUnavailableThanALongRunningStepAllows)
 {
     MaintenanceWave wave;
