fleet: complete a wave only by listings that are newer than the wave

Cause: a VM that the latest listing lacks was taken for one that has left, however old the listing. The VM had joined while the interface to VMs gave no answers. Without an outage the same happens when a wave comes before the next listing, up to 0.5 s after the VM joined.

Evidence: fleet_not_listed at 00.210, wave_received at 01.037, wave_completed at 01.042, and no maintenance_ordered between.

FleetView keeps the latest listing and when it was requested. A VM counts as gone if two listings in a row that were requested after the wave was received lack it; two, since pages are read one after the other.

--- a/modules/coordinator/fleet/FleetController.h
+++ b/modules/coordinator/fleet/FleetController.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <coordinator/fleet/FleetView.h>
 #include <coordinator/fleet/MoveTracker.h>
 #include <coordinator/fleet/VmOrderList.h>
 #include <coordinator/fleet/VmService.h>
@@ -60,7 +61,7 @@
     {
         if (this->nextListing.hasPassed(now) && !this->isListing)
             this->list(now);
-        if (!this->listedAt)
+        if (!this->fleet.isKnown())
             return;
         std::erase_if(this->possiblyDown, [now](const auto& entry) { return entry.second.hasPassed(now); });
         std::erase_if(this->arrivingVms, [now](const auto& entry) { return entry.second.until.hasPassed(now); });
@@ -114,19 +115,20 @@
         for (const auto& [vm, until] : this->possiblyDown)
             busy.insert(vm);
         std::set<VmId> pinned;
-        for (const auto& [vm, info] : this->fleet) {
+        for (const auto& [vm, info] : this->fleet.vms()) {
             auto retry = this->retryFrom.find(vm);
             if ((retry != this->retryFrom.end() && !retry->second.hasPassed(now)) || !this->orderList.mayOrder(vm, now))
                 pinned.insert(vm);
         }
-        for (const auto& order : this->sizing.advance(this->fleet, incoming, busy, pinned, now, unixMilliseconds()))
+        for (const auto& order :
+            this->sizing.advance(this->fleet.vms(), incoming, busy, pinned, now, unixMilliseconds()))
             this->move(order, now);
     }
 
     void move(const MoveOrder& order, Instant now)
     {
         this->pendingOrders.insert(order.vm);
-        this->moves.begin(this->fleet.at(order.vm));
+        this->moves.begin(this->fleet.vms().at(order.vm));
         this->arrivingVms[order.vm] = { order.to, Deadline::after(now, arrivalLimit) };
         writeLog(LogLevel::Info,
             LogLine("move_ordered")
@@ -262,17 +264,15 @@
                 writeLog(LogLevel::Warning, LogLine("fleet_not_listed").add("reason", nameOf(result.error())));
                 return;
             }
-            this->listedAt = now;
-            this->fleet.clear();
-            for (auto& info : result.value()) {
+            this->fleet.apply(result.value(), now);
+            for (const auto& info : result.value()) {
                 auto arrival = this->arrivingVms.find(info.id);
                 bool hasArrived = arrival != this->arrivingVms.end() && info.pool == arrival->second.pool
                     && info.state == VmPhase::Up && !this->pendingOrders.contains(info.id);
                 if (hasArrived)
                     this->arrivingVms.erase(arrival);
-                this->fleet[info.id] = info;
             }
-            this->moves.settle(this->fleet, now);
+            this->moves.settle(this->fleet.vms(), now);
         });
     }
 
@@ -282,16 +282,20 @@
         MaintenanceWave current = wave;
         current.done = progress.record.done;
         bool isFinished = std::all_of(wave.vms.begin(), wave.vms.end(),
-            [&](const VmId& vm) { return current.done.contains(vm) || !this->fleet.contains(vm); });
+            [&](const VmId& vm) { return current.done.contains(vm) || this->fleet.hasLeft(vm, wave.receivedAt); });
         if (isFinished) {
-            writeLog(LogLevel::Info, LogLine("wave_completed").add("wave", wave.number));
+            writeLog(LogLevel::Info,
+                LogLine("wave_completed")
+                    .add("wave", wave.number)
+                    .add("machines", wave.vms.size())
+                    .add("done", current.done.size()));
             progress.record.isCompleted = true;
             this->system.endDrains();
             this->save(wave.number);
             return;
         }
         this->isDraining = true;
-        for (const auto& vm : this->system.advance(current, this->fleet, this->possiblyDown, now)) {
+        for (const auto& vm : this->system.advance(current, this->fleet.vms(), this->possiblyDown, now)) {
             if (!this->pendingOrders.contains(vm) && !this->arrivingVms.contains(vm)
                 && this->orderList.mayOrder(vm, now)
                 && (!this->retryFrom.contains(vm) || this->retryFrom.at(vm).hasPassed(now)))
@@ -363,14 +367,13 @@
     Publish publish;
     std::shared_ptr<bool> alive;
     std::map<std::int64_t, Progress> progress;
-    std::map<VmId, VmInfo> fleet;
+    FleetView fleet;
     std::map<VmId, Deadline> possiblyDown;
     std::map<VmId, Deadline> retryFrom;
     std::map<VmId, Arrival> arrivingVms;
     std::set<VmId> pendingOrders;
     Deadline nextSizing;
     Deadline nextListing;
-    std::optional<Instant> listedAt;
     bool isListing = false;
     bool isStoring = false;
     bool isDraining = false;
--- a/modules/coordinator/tests/FakeFleet.h
+++ b/modules/coordinator/tests/FakeFleet.h
@@ -5,6 +5,7 @@
 #include <core/time/Deadline.h>
 
 #include <map>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -37,6 +38,8 @@
     VmOrderOutcome outcome = VmOrderOutcome::Accepted;
     /// Whether accepted moves are carried out.
     bool isObedient = true;
+    /// The next listing lacks these VMs, as when they are missed between two pages.
+    std::set<VmId> missedOnce;
     /// Listings fail.
     bool isListFailing = false;
 
@@ -48,8 +51,10 @@
             return;
         }
         std::vector<VmInfo> listed;
-        for (const auto& [id, info] : this->fleet.vms)
-            listed.push_back(info);
+        for (const auto& [id, info] : this->fleet.vms) {
+            if (!this->missedOnce.erase(id))
+                listed.push_back(info);
+        }
         after(this->base, Milliseconds(1), [callback = std::move(callback), listed] { callback(listed); });
     }
 
--- /dev/null
+++ b/modules/coordinator/tests/WaveTests.cpp
@@ -0,0 +1,93 @@
+#include <coordinator/tests/FleetFixture.h>
+
+#include <boost/test/unit_test.hpp>
+
+using namespace Greengage;
+
+namespace {
+
+/// A leader that has listed the fleet, which VMs join and leave.
+struct WaveFixture : FleetFixture {
+    WaveFixture()
+    {
+        for (const char* name : { "m1", "m2", "m3" })
+            this->addVm(name, "north");
+        this->first = this->start("first");
+        this->runUntil([this] { return this->first->leadership.isLeader(); });
+        this->runFor(earlierOrders + Milliseconds(200));
+    }
+
+    void orderWave(const char* vm)
+    {
+        MaintenanceWave wave;
+        wave.number = 1;
+        wave.vms = { VmId(vm) };
+        wave.receivedAt = BootClock::now();
+        wave.dueBy = Deadline::after(BootClock::now(), Seconds(20));
+        this->first->waves[1] = wave;
+    }
+
+    bool isCompleted() const { return this->first->completedWaves.contains(1); }
+
+    bool hasBegun(const char* vm) const
+    {
+        return std::any_of(this->fleet.orders.begin(), this->fleet.orders.end(),
+            [vm](const auto& order) { return order.vm == VmId(vm); });
+    }
+
+    /// Checks that the wave is completed, and not before the maintenance of its VM has begun.
+    void checkVmIsMaintained(const char* vm)
+    {
+        BOOST_TEST(this->runUntil([this] { return this->isCompleted(); }, Milliseconds(3000)));
+        BOOST_TEST(this->hasBegun(vm));
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(Waves, WaveFixture)
+
+/// Guards against a wave that is completed without its VM, which joined after the last listing.
+BOOST_AUTO_TEST_CASE(aVmThatTheOldListingLacksIsMaintained)
+{
+    this->first->link.isListFailing = true;
+    this->addVm("new", "north");
+    this->orderWave("new");
+    this->runFor(Milliseconds(1500));
+    BOOST_TEST(!this->isCompleted());
+    this->first->link.isListFailing = false;
+    this->checkVmIsMaintained("new");
+}
+
+/// Guards against the same while listings succeed: the wave comes before the next one.
+BOOST_AUTO_TEST_CASE(aVmThatJoinsJustBeforeItsWaveIsMaintained)
+{
+    this->addVm("new", "north");
+    this->orderWave("new");
+    this->checkVmIsMaintained("new");
+}
+
+/// Guards against a wave that is completed without a VM that one listing misses between its pages.
+BOOST_AUTO_TEST_CASE(aVmThatOneListingMissesIsMaintained)
+{
+    // Its maintenance cannot begin at once.
+    this->fleet.vms.at(VmId("m2")).state = VmPhase::Moving;
+    this->runFor(Milliseconds(700));
+    this->orderWave("m2");
+    this->first->link.missedOnce = { VmId("m2") };
+    this->runFor(Milliseconds(1200));
+    BOOST_TEST(!this->isCompleted());
+    this->fleet.vms.at(VmId("m2")).state = VmPhase::Up;
+    this->checkVmIsMaintained("m2");
+}
+
+BOOST_AUTO_TEST_CASE(aWaveIsCompletedWithoutAVmThatHasLeft)
+{
+    this->fleet.vms.erase(VmId("m2"));
+    this->runFor(Milliseconds(700));
+    this->orderWave("m2");
+    BOOST_TEST(this->runUntil([this] { return this->isCompleted(); }, Milliseconds(2000)));
+    BOOST_TEST(!this->hasBegun("m2"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/modules/jobs/model/MaintenanceWave.h
+++ b/modules/jobs/model/MaintenanceWave.h
@@ -16,6 +16,8 @@
     std::vector<VmId> vms;
     /// How many of these VMs may be down at a time.
     std::uint32_t maximum = 1;
+    /// When this daemon learned of the wave.
+    Instant receivedAt;
     /// When the maintenance of all VMs is to have begun.
     Deadline dueBy;
     /// VMs whose maintenance has begun or is complete.
