fleet: count a VM in maintenance as down until a newer listing

A VM whose maintenance was ordered counted as down for 2.5 s; while listings fail, the listing from before the order then showed it as up, and the next VM of the wave was taken down beside it, beyond the maximum.

It now counts as down until there is a listing that was requested after the answer to the order. While listings succeed, every 0.5 s, nothing changes.

Test: aVmInMaintenanceCountsAsDownUntilANewListing failed before: the second VM is ordered down within the 4 s that listings fail, with a maximum of one.

--- a/modules/coordinator/fleet/FleetController.h
+++ b/modules/coordinator/fleet/FleetController.h
@@ -63,7 +63,9 @@
             this->list(now);
         if (!this->fleet.isKnown())
             return;
-        std::erase_if(this->possiblyDown, [now](const auto& entry) { return entry.second.hasPassed(now); });
+        std::erase_if(this->possiblyDown, [&](const auto& entry) {
+            return entry.second.hasPassed(now) && this->fleet.isNewerThan(entry.second.at() - orderedDownPeriod);
+        });
         std::erase_if(this->arrivingVms, [now](const auto& entry) { return entry.second.until.hasPassed(now); });
         if (!this->leadership.maySendUnfencedOrders(now))
             return;
@@ -97,7 +99,8 @@
     /// Time between listings of the fleet.
     static constexpr Milliseconds listingPeriod { 500 };
     static constexpr Milliseconds sizingPeriod { 100 };
-    /// A VM whose maintenance was ordered counts as down for this long, whatever an older listing says.
+    /// A VM whose maintenance was ordered counts as down for this long, and until there is a listing that was requested
+    /// after the order.
     static constexpr Milliseconds orderedDownPeriod { 2500 };
     /// A VM that was ordered into a pool counts as arriving there for this long. The order takes effect until then or
     /// not at all.
--- a/modules/coordinator/fleet/FleetView.h
+++ b/modules/coordinator/fleet/FleetView.h
@@ -20,6 +20,9 @@
     /// Whether there has been a listing.
     bool isKnown() const { return this->requestedAt.has_value(); }
 
+    /// Whether the latest listing was requested after this time.
+    bool isNewerThan(Instant time) const { return this->requestedAt && *this->requestedAt > time; }
+
     const std::map<VmId, VmInfo>& vms() const { return this->listed; }
 
     /// Whether the VM, of which an order was received at `since`, has left the fleet: two listings in a row that were
--- a/modules/coordinator/tests/WaveTests.cpp
+++ b/modules/coordinator/tests/WaveTests.cpp
@@ -17,11 +17,11 @@
         this->runFor(earlierOrders + Milliseconds(200));
     }
 
-    void orderWave(const char* vm)
+    void orderWave(const std::vector<VmId>& vms)
     {
         MaintenanceWave wave;
         wave.number = 1;
-        wave.vms = { VmId(vm) };
+        wave.vms = vms;
         wave.receivedAt = BootClock::now();
         wave.dueBy = Deadline::after(BootClock::now(), Seconds(20));
         this->first->waves[1] = wave;
@@ -52,7 +52,7 @@
 {
     this->first->link.isListFailing = true;
     this->addVm("new", "north");
-    this->orderWave("new");
+    this->orderWave({ VmId("new") });
     this->runFor(Milliseconds(1500));
     BOOST_TEST(!this->isCompleted());
     this->first->link.isListFailing = false;
@@ -63,7 +63,7 @@
 BOOST_AUTO_TEST_CASE(aVmThatJoinsJustBeforeItsWaveIsMaintained)
 {
     this->addVm("new", "north");
-    this->orderWave("new");
+    this->orderWave({ VmId("new") });
     this->checkVmIsMaintained("new");
 }
 
@@ -73,7 +73,7 @@
     // Its maintenance cannot begin at once.
     this->fleet.vms.at(VmId("m2")).state = VmPhase::Moving;
     this->runFor(Milliseconds(700));
-    this->orderWave("m2");
+    this->orderWave({ VmId("m2") });
     this->first->link.missedOnce = { VmId("m2") };
     this->runFor(Milliseconds(1200));
     BOOST_TEST(!this->isCompleted());
@@ -81,11 +81,25 @@
     this->checkVmIsMaintained("m2");
 }
 
+/// Guards against more VMs down than the wave allows: an old listing shows as up a VM whose maintenance goes on.
+BOOST_AUTO_TEST_CASE(aVmInMaintenanceCountsAsDownUntilANewListing)
+{
+    this->orderWave({ VmId("m1"), VmId("m2") });
+    BOOST_REQUIRE(this->runUntil([this] { return this->hasBegun("m1"); }));
+    this->first->link.isListFailing = true;
+    this->fleet.vms.at(VmId("m1")).state = VmPhase::InMaintenance;
+    this->runFor(Milliseconds(4000));
+    BOOST_TEST(!this->hasBegun("m2"));
+    this->fleet.vms.at(VmId("m1")).state = VmPhase::Up;
+    this->first->link.isListFailing = false;
+    this->checkVmIsMaintained("m2");
+}
+
 BOOST_AUTO_TEST_CASE(aWaveIsCompletedWithoutAVmThatHasLeft)
 {
     this->fleet.vms.erase(VmId("m2"));
     this->runFor(Milliseconds(700));
-    this->orderWave("m2");
+    this->orderWave({ VmId("m2") });
     BOOST_TEST(this->runUntil([this] { return this->isCompleted(); }, Milliseconds(2000)));
     BOOST_TEST(!this->hasBegun("m2"));
 }
