coordinator: a start time that never was puts no worker out of use

An entry with an earlier start time is now ignored only if the worker itself has reported the later one. Otherwise it counts as a restart, whose attempts stay in doubt until the worker reports, so no task runs twice by it.

Tests: aWorkerIsUsedAgainAfterAnEntryWithAStartTimeThatNeverWas failed before (the job does not end within 3 s); anOldEntryChangesNothingOnceTheNewIncarnation HasReported held before and holds.

--- a/modules/coordinator/placing/Coordinator.h
+++ b/modules/coordinator/placing/Coordinator.h
@@ -79,7 +79,8 @@
         this->session->areWorkersListed = true;
     }
 
-    /// Applies a new or changed entry of the worker directory. An entry of an earlier incarnation is ignored.
+    /// Applies a new or changed entry of the worker directory. An entry of an earlier incarnation than the one that the
+    /// worker itself has reported is ignored.
     void updateWorker(const WorkerInfo& info)
     {
         if (!this->session)
@@ -89,10 +90,10 @@
         if (isNew)
             writeLog(LogLevel::Info,
                 LogLine("worker_listed").add("worker", info.id.string()).add("pool", info.pool.string()));
-        else if (info.incarnationUnixMs > worker.info.incarnationUnixMs)
-            this->session->leases.handleRestart(worker, info.incarnationUnixMs, BootClock::now());
-        else if (info.incarnationUnixMs < worker.info.incarnationUnixMs)
+        else if (info.incarnationUnixMs < worker.info.incarnationUnixMs && worker.isReached)
             return;
+        else if (info.incarnationUnixMs != worker.info.incarnationUnixMs)
+            this->session->leases.handleRestart(worker, info.incarnationUnixMs, BootClock::now());
         if (info.draining && !worker.info.draining)
             writeLog(LogLevel::Info, LogLine("worker_draining").add("worker", info.id.string()));
         worker.info = info;
@@ -100,7 +101,7 @@
         this->scheduleTick();
     }
 
-    /// Applies the removal of an entry of the worker directory.
+    /// Applies that the worker directory has no usable entry of the worker any more.
     void removeWorker(const WorkerId& id)
     {
         if (!this->session)
--- a/modules/coordinator/tests/WorkerRestartTests.cpp
+++ b/modules/coordinator/tests/WorkerRestartTests.cpp
@@ -110,4 +110,34 @@
     BOOST_TEST(this->workers.startedTwice.empty());
 }
 
+/// Guards against a worker that is out of use for good: another writer put a start time far ahead into its entry, and
+/// the worker's own entries and reports then looked older.
+BOOST_AUTO_TEST_CASE(aWorkerIsUsedAgainAfterAnEntryWithAStartTimeThatNeverWas)
+{
+    for (auto info : FakeDaemon::directory()) {
+        info.incarnationUnixMs = 4'000'000'000'000'000;
+        this->first->coordinator.updateWorker(info);
+    }
+    this->runFor(Milliseconds(100));
+    this->listWorkers();
+    this->workers.taskLength = Milliseconds(100);
+    this->submit(*this->first, this->job("j", 4));
+    BOOST_TEST(this->runUntil([this] { return this->isCompleted("j"); }, Milliseconds(3000)));
+    BOOST_TEST(this->workers.startedTwice.empty());
+}
+
+/// An entry of the former incarnation may arrive after a report of the new one.
+BOOST_AUTO_TEST_CASE(anOldEntryChangesNothingOnceTheNewIncarnationHasReported)
+{
+    this->restartWorkers();
+    this->runFor(Milliseconds(1500));
+    this->workers.taskLength = Milliseconds(600);
+    this->submit(*this->first, this->job("j", 4));
+    BOOST_REQUIRE(this->runUntil([this] { return this->workers.starts == 5U; }));
+    for (const auto& info : FakeDaemon::directory())
+        this->first->coordinator.updateWorker(info);
+    BOOST_TEST(this->runUntil([this] { return this->isCompleted("j"); }, Milliseconds(2000)));
+    BOOST_TEST(this->workers.starts == 5U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
