jobs: stop members of an ended gang that have not answered

Cause: the end of one member finishes the tasks of all, and left the unanswered member's attempt as it was. removeJob made orphans of attempts only if the job had active tasks, so this one stayed, its order was repeated, and the job looked up was gone: std::out_of_range.

Members whose start order is not answered are now stopped when the gang ends, so that none starts after it, and a job counts its attempts on workers, all of which become orphans with its removal.

--- a/modules/coordinator/tests/LostAnswerTests.cpp
+++ b/modules/coordinator/tests/LostAnswerTests.cpp
@@ -139,6 +139,29 @@
         BOOST_TEST(times == 1);
 }
 
+/// Guards against a leader that ends: it repeated the start order of a member of a gang whose job had ended and was
+/// removed.
+BOOST_AUTO_TEST_CASE(aGangEndsWhileAStartOrderOfAMemberIsUnanswered)
+{
+    this->first->coordinator.start();
+    BOOST_REQUIRE(this->runUntil([this] { return this->first->coordinator.isLeader(); }));
+    this->submit(*this->first, this->job("warm", 1));
+    BOOST_REQUIRE(this->runUntil([this] { return this->isCompleted("warm"); }));
+    this->workers.taskLength = Milliseconds(20);
+    this->first->link.lostStartTimeout = Milliseconds(400);
+    this->first->link.loseStarts = 1;
+    JobRecord record = this->job("j", 2);
+    record.spec.steps.front().gang = true;
+    record.spec.steps.front().perWorkerLimit = 1;
+    this->submit(*this->first, record);
+    BOOST_TEST(this->runUntil([this] { return this->isCompleted("j"); }));
+    std::size_t startsBefore = this->workers.starts;
+    this->runFor(Milliseconds(800));
+    BOOST_TEST(this->workers.starts == startsBefore);
+    this->submit(*this->first, this->job("k", 2));
+    BOOST_TEST(this->runUntil([this] { return this->isCompleted("k"); }));
+}
+
 /// Guards against a lease that expires because several renewals in a row are lost.
 BOOST_AUTO_TEST_CASE(threeLostRenewalsInARowExpireNoLease)
 {
--- a/modules/jobs/systems/ReportSystem.cpp
+++ b/modules/jobs/systems/ReportSystem.cpp
@@ -97,19 +97,32 @@
         return;
     JobRow& job = this->tables.jobs.at(end.task.job);
     // An attempt of the task on another worker, or with another number, is no longer needed.
-    if (row->phase == TaskPhase::Active && (row->worker != worker.info.id || row->run != end.run)) {
-        if (auto* other = this->tables.findWorker(row->worker); other && other->attempts.contains(end.task))
-            other->attempts.at(end.task).phase = AttemptPhase::Stopping;
-    }
+    if (row->worker != worker.info.id || row->run != end.run)
+        this->stopAttempt(end.task, [](const Attempt&) { return true; });
     this->tables.markUnsaved(job);
     if (!job.record.spec.steps[end.task.step].gang) {
         this->tables.finishTask(job, end.task);
         return;
     }
-    // The members of a gang end together, so the end of one finishes all of them.
+    // The members of a gang end together, so the end of one finishes all of them. One whose start order is not answered
+    // must not start any more.
     auto count = static_cast<std::uint32_t>(job.occurrences[end.task.occurrence].steps[end.task.step].tasks.size());
-    for (std::uint32_t index = 0; index < count; ++index)
-        this->tables.finishTask(job, { end.task.job, end.task.occurrence, end.task.step, index });
+    for (std::uint32_t index = 0; index < count; ++index) {
+        TaskName member { end.task.job, end.task.occurrence, end.task.step, index };
+        this->stopAttempt(
+            member, [&end](const Attempt& attempt) { return attempt.run != end.run || !attempt.isAnswered; });
+        this->tables.finishTask(job, member);
+    }
+}
+
+template <typename Condition> void ReportSystem::stopAttempt(const TaskName& task, Condition isUnneeded)
+{
+    TaskRow* row = this->tables.findTask(task);
+    WorkerRow* worker = row && row->phase == TaskPhase::Active ? this->tables.findWorker(row->worker) : nullptr;
+    if (!worker)
+        return;
+    if (auto found = worker->attempts.find(task); found != worker->attempts.end() && isUnneeded(found->second))
+        found->second.phase = AttemptPhase::Stopping;
 }
 
 void ReportSystem::handleRunning(WorkerRow& worker, const RunningAttempt& running, Instant now)
--- a/modules/jobs/systems/ReportSystem.h
+++ b/modules/jobs/systems/ReportSystem.h
@@ -33,6 +33,8 @@
 private:
     void handleEnd(WorkerRow&, const EndedAttempt&, Instant now);
     void handleDone(WorkerRow&, const EndedAttempt&);
+    /// Has the current attempt of the task stopped if `isUnneeded(attempt)`.
+    template <typename Condition> void stopAttempt(const TaskName&, Condition isUnneeded);
     void handleRunning(WorkerRow&, const RunningAttempt&, Instant now);
     bool adopt(WorkerRow&, const RunningAttempt&, Instant now);
     void addOrphan(WorkerRow&, const RunningAttempt&, Instant now);
--- a/modules/jobs/tables/JobRow.h
+++ b/modules/jobs/tables/JobRow.h
@@ -58,6 +58,8 @@
     JobRecord record;
     std::vector<OccurrenceRow> occurrences;
     std::uint32_t activeTasks = 0;
+    /// The attempts of its tasks that workers have, those of tasks that are done included.
+    std::uint32_t attempts = 0;
     std::uint32_t doneOccurrences = 0;
     /// Waiting or Running until the job has ended.
     JobState state = JobState::Waiting;
--- a/modules/jobs/tables/JobTables.cpp
+++ b/modules/jobs/tables/JobTables.cpp
@@ -85,7 +85,7 @@
     auto found = this->jobs.find(id);
     if (found == this->jobs.end())
         return;
-    if (found->second.activeTasks) {
+    if (found->second.attempts) {
         for (auto& [workerId, worker] : this->workers) {
             auto attempt = worker.attempts.lower_bound(TaskName { id });
             while (attempt != worker.attempts.end() && attempt->first.job == id) {
@@ -188,6 +188,7 @@
     attempt.confirmedAt = now;
     worker.occupied += attempt.occupied;
     this->usage[attempt.team] += attempt.charged;
+    job.attempts += 1;
     return worker.attempts[task] = attempt;
 }
 
@@ -208,6 +209,8 @@
     worker.bestEffortCount -= attempt.isBestEffort ? 1 : 0;
     worker.latencySensitiveCount -= attempt.isLatencySensitive() ? 1 : 0;
     this->usage[attempt.team] -= attempt.charged;
+    if (auto job = this->jobs.find(task.job); job != this->jobs.end())
+        job->second.attempts -= 1;
     TaskRow* row = this->findTask(task);
     if (row && row->phase == TaskPhase::Active && row->worker == worker.info.id && row->run == attempt.run) {
         JobRow& job = this->jobs.at(task.job);
--- a/modules/jobs/tests/PlacementTests.cpp
+++ b/modules/jobs/tests/PlacementTests.cpp
@@ -225,6 +225,32 @@
 }
 
 /// A queue asks for several times the capacity of its pool, so that some jobs can no longer be on time.
+/// Guards against a start order that is repeated for a job that has ended: a member of a gang did not answer when
+/// another one ended.
+BOOST_AUTO_TEST_CASE(anUnansweredMemberIsStoppedAndOutlivesItsJobAsAnOrphan)
+{
+    WorkerRow& cutOff = this->addWorker("cut-off");
+    WorkerRow& sound = this->addWorker("sound");
+    StepSpec gang = step(2, 1000);
+    gang.gang = true;
+    gang.perWorkerLimit = 1;
+    this->addJob("j", { gang });
+    this->placeAndRun();
+    BOOST_REQUIRE((cutOff.attempts.size() == 1U && sound.attempts.size() == 1U));
+    Attempt& unanswered = cutOff.attempts.begin()->second;
+    unanswered.phase = AttemptPhase::Ordered;
+    unanswered.isAnswered = false;
+    this->end(sound.attempts.begin()->first, EndKind::Done);
+    BOOST_TEST((this->tables.jobs.at(JobId("j")).state == JobState::Completed));
+    BOOST_TEST((unanswered.phase == AttemptPhase::Stopping));
+    this->tables.removeJob(JobId("j"));
+    BOOST_TEST(cutOff.attempts.empty());
+    BOOST_TEST(cutOff.orphans.size() == 1U);
+    BOOST_TEST(cutOff.occupied.cpuMillis == 1000);
+    this->tables.clearWorker(cutOff);
+    BOOST_TEST(this->tables.usage[TeamId("bakers")].cpuMillis == 0);
+}
+
 BOOST_AUTO_TEST_CASE(jobsThatCanStillBeOnTimeArePlacedBeforeLateJobs)
 {
     this->addWorker("w1", "north", 1000);
