coordinator: confirm no ends of a later incarnation of a worker

If the worker started again meanwhile, the number noted for its former incarnation confirmed ends of the new one, whose effects need not be stored. After a loss of the leader such a task would start again though its end was confirmed.

A round now notes the incarnation with the number, and confirms nothing of another one.

Test: aRoundConfirmsNoEndsOfALaterIncarnation failed before (four ends confirmed instead of none).

--- a/modules/coordinator/placing/ReportWatermark.cpp
+++ b/modules/coordinator/placing/ReportWatermark.cpp
@@ -15,7 +15,7 @@
     for (const auto& id : unsaved)
         this->jobs[id] = Phase::Unsaved;
     for (const auto& [id, worker] : this->tables.workers)
-        this->appliedEnds.emplace(id, worker.appliedEnds);
+        this->appliedEnds[id] = { worker.info.incarnationUnixMs, worker.appliedEnds };
 }
 
 void ReportWatermark::beginWrite(const JobId& id)
@@ -44,8 +44,9 @@
     if (!this->hasBegun || !this->jobs.empty())
         return false;
     for (const auto& [id, ends] : this->appliedEnds) {
-        if (auto* worker = this->tables.findWorker(id))
-            worker->storedEnds = std::max(worker->storedEnds, std::min(ends, worker->appliedEnds));
+        auto* worker = this->tables.findWorker(id);
+        if (worker && worker->info.incarnationUnixMs == ends.incarnationUnixMs)
+            worker->storedEnds = std::max(worker->storedEnds, std::min(ends.number, worker->appliedEnds));
     }
     this->appliedEnds.clear();
     this->hasBegun = false;
--- a/modules/coordinator/placing/ReportWatermark.h
+++ b/modules/coordinator/placing/ReportWatermark.h
@@ -47,10 +47,17 @@
         UnderWay,
     };
 
+    /// The ends that one incarnation of a worker had reported when the round began. A later incarnation numbers its own
+    /// ends from 1.
+    struct AppliedEnds {
+        std::int64_t incarnationUnixMs = 0;
+        std::uint64_t number = 0;
+    };
+
     JobTables& tables;
     bool hasBegun = false;
     std::unordered_map<JobId, Phase> jobs;
-    std::unordered_map<WorkerId, std::uint64_t> appliedEnds;
+    std::unordered_map<WorkerId, AppliedEnds> appliedEnds;
 };
 
 } // namespace Greengage
