--- a/modules/coordinator/tests/WorkerRestartTests.cpp
+++ b/modules/coordinator/tests/WorkerRestartTests.cpp
@@ -18,6 +18,14 @@
         this->first->link.lostStartTimeout = Milliseconds(400);
     }
 
+    /// Submits a job of four tasks, whose first start orders are all lost.
+    void submitWithLostOrders()
+    {
+        this->first->link.loseStarts = 4;
+        this->submit(*this->first, this->job("j", 4));
+        BOOST_REQUIRE(this->runUntil([this] { return this->first->link.loseStarts == 0; }));
+    }
+
     void restartWorkers()
     {
         for (const auto& info : FakeDaemon::directory())
@@ -42,9 +50,7 @@
 /// orders that were repeated before its restart was known.
 BOOST_AUTO_TEST_CASE(tasksThatTheNewIncarnationRunsAreNotStartedElsewhere)
 {
-    this->first->link.loseStarts = 4;
-    this->submit(*this->first, this->job("j", 4));
-    BOOST_REQUIRE(this->runUntil([this] { return this->first->link.loseStarts == 0; }));
+    this->submitWithLostOrders();
     this->restartWorkers();
     BOOST_REQUIRE(this->runUntil([this] { return this->workers.starts == 5U; }));
     this->listWorkers();
@@ -56,9 +62,7 @@
 /// Guards against the same when the restart is seen in a report, before the entry is written.
 BOOST_AUTO_TEST_CASE(tasksAreNotStartedElsewhereIfAReportShowsTheRestart)
 {
-    this->first->link.loseStarts = 4;
-    this->submit(*this->first, this->job("j", 4));
-    BOOST_REQUIRE(this->runUntil([this] { return this->first->link.loseStarts == 0; }));
+    this->submitWithLostOrders();
     this->restartWorkers();
     BOOST_TEST(this->runUntil([this] { return this->isCompleted("j"); }));
     BOOST_TEST(this->workers.startedTwice.empty());
@@ -84,9 +88,7 @@
 BOOST_AUTO_TEST_CASE(tasksInDoubtStartElsewhereOnlyAfterTheLongestLease)
 {
     this->workers.taskLength = Milliseconds(3500);
-    this->first->link.loseStarts = 4;
-    this->submit(*this->first, this->job("j", 4));
-    BOOST_REQUIRE(this->runUntil([this] { return this->first->link.loseStarts == 0; }));
+    this->submitWithLostOrders();
     this->restartWorkers();
     BOOST_REQUIRE(this->runUntil([this] { return this->workers.starts == 5U; }));
     this->first->link.unreachable = { this->busiestWorker() };
