--- a/modules/coordinator/tests/MoveTests.cpp
+++ b/modules/coordinator/tests/MoveTests.cpp
@@ -69,7 +69,7 @@
 }
 
 /// Guards against an old listing that is taken for the effect of the order.
-BOOST_AUTO_TEST_CASE(onlyAListingOfLaterEndsAMoveWithoutAnAnswer)
+BOOST_AUTO_TEST_CASE(onlyALaterListingEndsAMoveWithoutAnAnswer)
 {
     this->orderMoves(VmOrderOutcome::NoAnswer);
     this->first->link.isListFailing = true;
