coordinator: give up tasks of workers that the fleet shows as ended

Cause: the end of a worker was known only from the end of its lease, though the listing of the fleet shows it within half a second. Each wait for a lease keeps the 9 s in which a long-running task has to be back. Their sum does not: a leader that is lost meanwhile makes the next one wait anew, 2.5 s for orders of its predecessor and 4.3 s for the lease. A worker that had once started again made it 11 s without any loss of a leader, since it may hold the longest lease.

Evidence: suite EndedWorkers. Three cases failed before (tasks start elsewhere before the lease expires; a loss of the leader just before the lease expires; a worker that started again and ended), each with the other task missing at its bound. Four guard cases held before and hold now.

Why it works: an unresponsive worker has ended if two listings in a row, both requested after its last sign of life, show no VM on which it runs. A worker that is cut off stays listed, so its lease is waited for as before. A listing without VMs, or with one that cannot be read, ends no worker. The next leader needs nothing from its predecessor for this.

Tests run: coordinator_tests whole (82 cases), lint of the changed files.

--- a/modules/coordinator/fleet/FleetController.h
+++ b/modules/coordinator/fleet/FleetController.h
@@ -106,6 +106,8 @@
     /// not at all.
     static constexpr Milliseconds arrivalLimit { 3000 };
     static constexpr Milliseconds retryPause { 400 };
+    /// A start order and its repetitions have arrived within this time, unless the network holds them up.
+    static constexpr Milliseconds startOrderPeriod { 1000 };
 
     void sizePools(Instant now)
     {
@@ -268,6 +270,7 @@
                 return;
             }
             this->fleet.apply(result.value(), now);
+            this->markEndedWorkers();
             for (const auto& info : result.value()) {
                 auto arrival = this->arrivingVms.find(info.id);
                 bool hasArrived = arrival != this->arrivingVms.end() && info.pool == arrival->second.pool
@@ -279,6 +282,25 @@
         });
     }
 
+    /// Marks the workers that have ended with their VMs, so that their tasks need not wait for the end of the leases.
+    void markEndedWorkers()
+    {
+        for (auto& [id, worker] : this->tables.workers)
+            worker.hasEnded = worker.isSuspect && this->fleet.hasWorkerEnded(id, FleetController::latestSignOf(worker));
+    }
+
+    /// Until when the worker may have done something of which this leader does not know: reported, or carried out a
+    /// start order.
+    static Instant latestSignOf(const WorkerRow& worker)
+    {
+        Instant latest = worker.lastReport;
+        for (const auto& [task, attempt] : worker.attempts) {
+            if (!attempt.isListed && attempt.mayHaveBeenSent())
+                latest = std::max(latest, attempt.orderedAt + startOrderPeriod);
+        }
+        return latest;
+    }
+
     void advance(const MaintenanceWave& wave, Instant now)
     {
         Progress& progress = this->progress.at(wave.number);
--- a/modules/coordinator/placing/LeaseManager.h
+++ b/modules/coordinator/placing/LeaseManager.h
@@ -308,24 +308,29 @@
         worker.leaseExpires = Deadline();
     }
 
-    /// Releases the attempts of unresponsive workers whose leases have certainly expired.
+    /// Whether the lease of the worker has certainly expired.
+    bool hasLeaseExpired(const WorkerRow& worker, Instant now) const
+    {
+        const Deadline& inheritedLeaseExpires
+            = worker.hasRestarted ? this->tables.inheritedLongestLeasesExpire : this->tables.inheritedLeasesExpire;
+        return worker.leaseExpires.hasPassed(now) && (worker.isReached || inheritedLeaseExpires.hasPassed(now));
+    }
+
+    /// Releases the attempts of unresponsive workers that have ended with their VMs, or whose leases have expired.
     void clearExpiredWorkers(Instant now)
     {
         JobTables& tables = this->tables;
         for (auto entry = tables.workers.begin(); entry != tables.workers.end();) {
             WorkerRow& worker = entry->second;
-            const Deadline& inheritedLeaseExpires
-                = worker.hasRestarted ? tables.inheritedLongestLeasesExpire : tables.inheritedLeasesExpire;
-            bool isExpired = worker.isSuspect && worker.leaseExpires.hasPassed(now)
-                && (worker.isReached || inheritedLeaseExpires.hasPassed(now));
-            if (isExpired && !(worker.attempts.empty() && worker.orphans.empty())) {
+            bool isOver = worker.isSuspect && (worker.hasEnded || this->hasLeaseExpired(worker, now));
+            if (isOver && !(worker.attempts.empty() && worker.orphans.empty())) {
                 writeLog(LogLevel::Warning,
-                    LogLine("worker_lease_expired")
+                    LogLine(worker.hasEnded ? "worker_ended" : "worker_lease_expired")
                         .add("worker", worker.info.id.string())
                         .add("lost", worker.attempts.size()));
                 tables.clearWorker(worker);
             }
-            if (isExpired && !worker.isListed && !this->renewals[entry->first].isUnderWay) {
+            if (isOver && !worker.isListed && !this->renewals[entry->first].isUnderWay) {
                 this->renewals.erase(entry->first);
                 entry = tables.workers.erase(entry);
             } else
--- /dev/null
+++ b/modules/coordinator/tests/EndedWorkerTests.cpp
@@ -0,0 +1,182 @@
+#include <coordinator/fleet/FleetView.h>
+#include <coordinator/tests/CoordinatorFixture.h>
+
+#include <boost/test/unit_test.hpp>
+
+using namespace Greengage;
+
+namespace {
+
+/// The longest time that a long-running task may be missing while there is room for it.
+constexpr Milliseconds longestAbsence { 9000 };
+
+/// Workers that end with their VMs while they run a job of long tasks.
+struct EndedWorkerFixture : CoordinatorFixture {
+    EndedWorkerFixture()
+    {
+        this->workers.taskLength = Milliseconds(60'000);
+        this->workers.longestLease = FakeDaemon::longestGrantedLease;
+        this->listVms(*this->first);
+        this->first->coordinator.start();
+        this->runUntil([this] { return this->first->coordinator.isLeader(); });
+        JobRecord record = this->job("j", 2);
+        record.spec.steps[0].longRunning = true;
+        this->submit(*this->first, record);
+        BOOST_REQUIRE(this->runUntil([this] { return this->workers.starts == 2U; }));
+        // The reports that list both tasks.
+        this->runFor(Milliseconds(1500));
+        this->lost = this->busiestWorker();
+    }
+
+    static void listVms(FakeDaemon& daemon)
+    {
+        daemon.vmService.vms.clear();
+        for (const auto& info : FakeDaemon::directory()) {
+            VmInfo vm;
+            vm.id = VmId("m-" + info.id.string());
+            vm.pool = info.pool;
+            vm.state = VmPhase::Up;
+            vm.capacity = info.capacity;
+            vm.worker = info.id;
+            daemon.vmService.vms.push_back(vm);
+        }
+    }
+
+    VmInfo& vmOfLost(FakeDaemon& daemon)
+    {
+        auto isOfLost = [this](const VmInfo& vm) { return vm.worker == this->lost; };
+        return *std::find_if(daemon.vmService.vms.begin(), daemon.vmService.vms.end(), isOfLost);
+    }
+
+    /// Cuts the worker off from a daemon. It runs on.
+    void cutOff(FakeDaemon& daemon) const { daemon.link.unreachable.insert(this->lost); }
+
+    /// Ends the worker, its tasks and its VM for good.
+    void endWorker(FakeDaemon& daemon)
+    {
+        this->cutOff(daemon);
+        this->workers.workers[this->lost].running.clear();
+        auto& vm = this->vmOfLost(daemon);
+        vm.state = VmPhase::Down;
+        vm.worker = WorkerId();
+    }
+
+    /// Loses the leader without notice, and starts another daemon that knows the worker as ended.
+    void replaceLeader()
+    {
+        this->first.reset();
+        this->second = this->makeDaemon("second", "2");
+        EndedWorkerFixture::listVms(*this->second);
+        this->endWorker(*this->second);
+        this->second->coordinator.start();
+    }
+
+    bool areBothRunning()
+    {
+        std::size_t running = 0;
+        for (const auto& [id, worker] : this->workers.workers)
+            running += worker.running.size();
+        return running == 2U;
+    }
+
+    WorkerId lost;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(EndedWorkers, EndedWorkerFixture)
+
+/// Guards against tasks that wait for the lease of a worker that the fleet shows as ended.
+BOOST_AUTO_TEST_CASE(tasksStartElsewhereBeforeTheLeaseOfAnEndedWorkerExpires)
+{
+    this->endWorker(*this->first);
+    BOOST_TEST(this->runUntil([this] { return this->areBothRunning(); }, FakeDaemon::leaseDuration));
+    BOOST_TEST(this->workers.startedTwice.empty());
+}
+
+/// Guards against waits that add up: the leader is lost just before it would have given up the tasks of a worker.
+BOOST_AUTO_TEST_CASE(aLossOfTheLeaderDoesNotRepeatTheWaitForAnEndedWorker)
+{
+    // As if this leader could not list the fleet.
+    this->first->vmService.vms.clear();
+    Instant endedAt = BootClock::now();
+    this->cutOff(*this->first);
+    this->workers.workers[this->lost].running.clear();
+    this->runFor(Milliseconds(3500));
+    this->replaceLeader();
+    auto left = std::chrono::duration_cast<Milliseconds>(endedAt + longestAbsence - BootClock::now());
+    BOOST_TEST(this->runUntil([this] { return this->areBothRunning(); }, left));
+    BOOST_TEST(this->workers.startedTwice.empty());
+}
+
+/// Guards against tasks that wait for the longest lease of a worker that has started again and then ended.
+BOOST_AUTO_TEST_CASE(tasksOfAWorkerThatStartedAgainAndEndedStartElsewhereInTime)
+{
+    this->workers.restart(this->lost);
+    BOOST_REQUIRE(this->runUntil([this] { return this->areBothRunning(); }, Milliseconds(3000)));
+    this->runFor(Milliseconds(1500));
+    this->lost = this->busiestWorker();
+    this->endWorker(*this->first);
+    BOOST_TEST(this->runUntil([this] { return this->areBothRunning(); }, FakeDaemon::leaseDuration));
+    BOOST_TEST(this->workers.startedTwice.empty());
+}
+
+/// Guards against a task that runs twice: a worker that is cut off runs on until its lease expires.
+BOOST_AUTO_TEST_CASE(aWorkerThatIsCutOffKeepsItsTasksWhileTheFleetShowsIt)
+{
+    this->cutOff(*this->first);
+    BOOST_TEST(this->runUntil([this] { return this->workers.starts == 3U; }, Milliseconds(8000)));
+    BOOST_TEST(this->workers.startedTwice.empty());
+    BOOST_TEST(this->workers.lapses == 1U);
+}
+
+/// Guards against the same when listings are wrong: the worker answers.
+BOOST_AUTO_TEST_CASE(aWorkerThatAnswersKeepsItsTasksWhateverTheFleetShows)
+{
+    auto& vm = this->vmOfLost(*this->first);
+    vm.state = VmPhase::Down;
+    vm.worker = WorkerId();
+    this->runFor(Milliseconds(4000));
+    BOOST_TEST(this->workers.starts == 2U);
+}
+
+/// Guards against the same when a VM cannot be read: the worker may run on it.
+BOOST_AUTO_TEST_CASE(aListingWithAnUnreadableVmEndsNoWorker)
+{
+    this->cutOff(*this->first);
+    auto& vm = this->vmOfLost(*this->first);
+    vm.worker = WorkerId();
+    vm.isReadable = false;
+    BOOST_TEST(this->runUntil([this] { return this->workers.starts == 3U; }, Milliseconds(8000)));
+    BOOST_TEST(this->workers.startedTwice.empty());
+    BOOST_TEST(this->workers.lapses == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(onlyTwoListingsAfterTheLastSignShowThatAWorkerHasEnded)
+{
+    VmInfo vm;
+    vm.id = VmId("m1");
+    vm.worker = WorkerId("w1");
+    std::vector<VmInfo> without { vm };
+    vm.id = VmId("m2");
+    vm.worker = this->lost;
+    std::vector<VmInfo> with { without.front(), vm };
+    without.front().worker = WorkerId("other");
+    with.front().worker = WorkerId("other");
+    Instant sign { Seconds(100) };
+    FleetView fleet;
+    auto hasEnded = [&](const std::vector<VmInfo>& vms, int second) {
+        fleet.apply(vms, Instant(Seconds(second)));
+        return fleet.hasWorkerEnded(this->lost, sign);
+    };
+    BOOST_TEST(!hasEnded(without, 99));
+    BOOST_TEST(!hasEnded(without, 101));
+    BOOST_TEST(hasEnded(without, 102));
+    BOOST_TEST(!hasEnded(with, 103));
+    BOOST_TEST(!hasEnded(without, 104));
+    BOOST_TEST(!hasEnded({}, 105));
+    BOOST_TEST(!hasEnded(without, 106));
+    BOOST_TEST(hasEnded(without, 107));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/modules/coordinator/tests/FakeWorkers.h
+++ b/modules/coordinator/tests/FakeWorkers.h
@@ -284,7 +284,7 @@
     std::set<std::pair<TaskName, std::uint32_t>> heldUp;
 };
 
-/// A stand-in for the VM service, with no VMs.
+/// A stand-in for the VM service.
 class FakeVms {
 public:
     explicit FakeVms(event_base& base)
@@ -294,6 +294,7 @@
 
     /// How many of the next listings end with an unforeseen error when they are requested.
     int failListings = 0;
+    std::vector<VmInfo> vms;
 
     void list(VmListCallback callback)
     {
@@ -301,7 +302,7 @@
             this->failListings -= 1;
             throw std::out_of_range("injected");
         }
-        after(this->base, Milliseconds(1), [callback = std::move(callback)] { callback(std::vector<VmInfo>()); });
+        after(this->base, Milliseconds(1), [callback = std::move(callback), vms = this->vms] { callback(vms); });
     }
 
     void beginMaintenance(const VmId&, std::int64_t, std::int64_t, VmOrderCallback callback)
--- a/modules/jobs/model/VmInfo.h
+++ b/modules/jobs/model/VmInfo.h
@@ -34,6 +34,8 @@
     ResourceAmount capacity;
     /// Empty if the VM is switched off.
     WorkerId worker;
+    /// False if the listing shows no more of the VM than its id, so that a worker may run on it.
+    bool isReadable = true;
 };
 
 } // namespace Greengage
--- a/modules/jobs/systems/ReportSystem.cpp
+++ b/modules/jobs/systems/ReportSystem.cpp
@@ -47,6 +47,7 @@
 {
     this->events.clear();
     worker.isReached = true;
+    worker.hasEnded = false;
     worker.lastReport = now;
     worker.clockMs = report.clockMs;
     worker.clockReadAt = now;
