jobs: name the long-running tasks that are not at work, and why

Nothing in the logs told how long a long-running task had not been at work, or what it waited for, so a report of one that did not run could not be traced.

What placement and the monitor both ask (set aside, within the maximum, labels, siblings) is now asked of one place.

--- /dev/null
+++ b/modules/coordinator/placing/AbsenceLogger.cpp
@@ -0,0 +1,32 @@
+#include <coordinator/placing/AbsenceLogger.h>
+
+#include <core/log/Log.h>
+#include <core/log/LogLine.h>
+#include <core/time/UnixClock.h>
+
+#include <algorithm>
+
+namespace Greengage {
+
+void AbsenceLogger::tick(Instant now)
+{
+    if (!this->nextCheck.hasPassed(now))
+        return;
+    this->nextCheck = Deadline::after(now, period);
+    auto absences = this->monitor.check(now, unixMilliseconds());
+    if (absences.empty())
+        return;
+    std::size_t lines = std::min(maxLines, absences.size());
+    for (std::size_t index = 0; index < lines; ++index) {
+        const TaskAbsence& absence = absences[index];
+        writeLog(LogLevel::Warning,
+            LogLine("long_running_absent")
+                .add("task", absence.task.text())
+                .add("reason", nameOf(absence.reason))
+                .add("for_ms", std::chrono::duration_cast<Milliseconds>(now - absence.since).count())
+                .add("worker", absence.worker.string()));
+    }
+    writeLog(LogLevel::Warning, LogLine("long_running_absences").add("tasks", absences.size()).add("named", lines));
+}
+
+} // namespace Greengage
--- a/modules/coordinator/placing/Coordinator.h
+++ b/modules/coordinator/placing/Coordinator.h
@@ -2,6 +2,7 @@
 
 #include <coordinator/fleet/FleetController.h>
 #include <coordinator/leadership/Leadership.h>
+#include <coordinator/placing/AbsenceLogger.h>
 #include <coordinator/placing/AdviceManager.h>
 #include <coordinator/placing/CoordinatorLimits.h>
 #include <coordinator/placing/EndedJobCleaner.h>
@@ -199,6 +200,7 @@
                   [&owner] { owner.scheduleTick(); })
             , placement(tables, owner.limits.farSlowdown)
             , throttling(tables)
+            , absences(tables)
             , advice(owner.advice, tables, [&owner] { owner.scheduleTick(); })
             , workerRoster(owner.store, owner.leadership, tables)
             , cleaner(owner.store, owner.leadership, owner.limits.endedJobRetention, BootClock::now())
@@ -220,6 +222,7 @@
         ProgressWriter<Store> writer;
         PlacementSystem placement;
         ThrottleSystem throttling;
+        AbsenceLogger absences;
         AdviceManager<Advice> advice;
         WorkerRosterManager<Store> workerRoster;
         EndedJobCleaner<Store> cleaner;
@@ -356,6 +359,7 @@
                 this->session->orders.orderStops(now);
                 this->session->orders.orderThrottles();
                 this->logPools(now);
+                this->session->absences.tick(now);
             }
         }
         if (this->session->nextFlush.hasPassed(now)) {
--- a/modules/jobs/jobs.h
+++ b/modules/jobs/jobs.h
@@ -12,6 +12,7 @@
 #include <jobs/model/TaskName.h>
 #include <jobs/model/WorkerInfo.h>
 #include <jobs/model/WorkerReport.h>
+#include <jobs/systems/AbsenceMonitor.h>
 #include <jobs/systems/AdviceSystem.h>
 #include <jobs/systems/JobObjective.h>
 #include <jobs/systems/PlacementSystem.h>
--- a/modules/jobs/systems/PlacementSystem.cpp
+++ b/modules/jobs/systems/PlacementSystem.cpp
@@ -12,15 +12,19 @@
 
 namespace Greengage {
 
-namespace {
+bool PlacementSystem::acceptsTasks(const WorkerRow& worker, Instant now)
+{
+    return worker.isListed && worker.isOnRoster && worker.isReached && !worker.isSuspect && !worker.isLeaving()
+        && worker.quarantinedUntil.hasPassed(now);
+}
 
-bool hasLabel(const WorkerRow& worker, const std::string& label)
+bool PlacementSystem::hasLabel(const WorkerRow& worker, const std::string& label)
 {
     const auto& labels = worker.info.labels;
     return std::find(labels.begin(), labels.end(), label) != labels.end();
 }
 
-std::uint32_t countSiblings(const WorkerRow& worker, const TaskName& task)
+std::uint32_t PlacementSystem::countSiblings(const WorkerRow& worker, const TaskName& task)
 {
     std::uint32_t count = 0;
     auto attempt = worker.attempts.lower_bound(TaskName { task.job, task.occurrence, task.step, 0 });
@@ -32,14 +36,6 @@
     return count;
 }
 
-} // namespace
-
-bool PlacementSystem::acceptsTasks(const WorkerRow& worker, Instant now)
-{
-    return worker.isListed && worker.isOnRoster && worker.isReached && !worker.isSuspect && !worker.isLeaving()
-        && worker.quarantinedUntil.hasPassed(now);
-}
-
 bool PlacementSystem::canHost(const WorkerRow& worker, const StepSpec& step)
 {
     return step.occupiedPerTask().fitsIn(worker.info.capacity - worker.occupied)
@@ -98,7 +94,7 @@
     std::vector<Candidate> candidates;
     for (auto& [id, job] : this->tables.jobs) {
         WorkScope scope(WorkKind::Job, id.string());
-        if (job.hasEnded() || this->isSetAside(id, now))
+        if (job.hasEnded() || this->tables.isSetAside(id, now))
             continue;
         const QueuePolicy* queue = this->tables.policyOf(job);
         if (!queue)
@@ -125,12 +121,6 @@
     return candidates;
 }
 
-bool PlacementSystem::isSetAside(const JobId& job, Instant now) const
-{
-    auto found = this->tables.setAsideUntil.find(job);
-    return found != this->tables.setAsideUntil.end() && !found->second.hasPassed(now);
-}
-
 void PlacementSystem::markTeamsOverShare(std::vector<Candidate>& candidates) const
 {
     std::set<TeamId> teams;
@@ -185,7 +175,7 @@
     for (std::uint32_t index = 0; index < tasks.size(); ++index) {
         if (tasks[index].phase != TaskPhase::Waiting)
             continue;
-        if (!this->isWithinMaximum(job, spec.demand))
+        if (!this->tables.isWithinMaximum(job, spec.demand))
             return;
         TaskName name { job.record.id, occurrence, step, index };
         WorkerRow* worker = this->chooseFromPool(job, name, pool);
@@ -231,7 +221,8 @@
     std::size_t firstOrder = this->orders.size();
     for (std::uint32_t index = 0; index < row.tasks.size(); ++index) {
         TaskName name { job.record.id, occurrence, step, index };
-        WorkerRow* worker = this->isWithinMaximum(job, spec.demand) ? this->chooseWorker(job, name, workers) : nullptr;
+        WorkerRow* worker
+            = this->tables.isWithinMaximum(job, spec.demand) ? this->chooseWorker(job, name, workers) : nullptr;
         if (!worker) {
             // Either all members start or none does.
             for (std::size_t order = firstOrder; order < this->orders.size(); ++order)
@@ -327,20 +318,6 @@
         && !objective.canBeOnTime(this->tickUnixMs + extraMs);
 }
 
-bool PlacementSystem::isWithinMaximum(const JobRow& job, const ResourceAmount& demand) const
-{
-    auto team = this->tables.policies->teams.find(job.record.team);
-    if (team == this->tables.policies->teams.end())
-        return true;
-    ResourceAmount use = demand;
-    if (auto found = this->tables.usage.find(job.record.team); found != this->tables.usage.end())
-        use += found->second;
-    auto isWithin = [](std::int64_t used, std::int64_t maximum) { return !maximum || used <= maximum; };
-    const ResourceAmount& maximum = team->second.maximum;
-    return isWithin(use.cpuMillis, maximum.cpuMillis) && isWithin(use.memoryMegabytes, maximum.memoryMegabytes)
-        && isWithin(use.accelerators, maximum.accelerators);
-}
-
 void PlacementSystem::planAttempt(JobRow& job, const TaskName& task, WorkerRow& worker, std::uint32_t run)
 {
     Attempt& attempt = this->tables.beginAttempt(worker, job, task, run, AttemptPhase::Planned, this->tickAt);
--- a/modules/jobs/systems/PlacementSystem.h
+++ b/modules/jobs/systems/PlacementSystem.h
@@ -6,6 +6,7 @@
 #include <jobs/systems/StartOrder.h>
 
 #include <cstdint>
+#include <string>
 #include <vector>
 
 namespace Greengage {
@@ -15,6 +16,7 @@
 struct OccurrenceRow;
 struct StepRow;
 struct StepSpec;
+struct TaskName;
 struct WorkerRow;
 
 /// Decides which waiting tasks start now, and on which workers. A queue can ask for several times the capacity of its
@@ -47,6 +49,11 @@
     /// Whether the worker has the free capacity and the label for one task of the step.
     static bool canHost(const WorkerRow&, const StepSpec&);
 
+    static bool hasLabel(const WorkerRow&, const std::string& label);
+
+    /// How many attempts of the task's step the worker has.
+    static std::uint32_t countSiblings(const WorkerRow&, const TaskName&);
+
 private:
     struct Candidate;
     using Workers = std::vector<WorkerRow*>;
@@ -58,7 +65,6 @@
     };
 
     std::vector<Candidate> collectCandidates(Instant now) const;
-    bool isSetAside(const JobId&, Instant now) const;
     /// Marks the candidates whose teams use more of the fleet's capacity than their share. Shares follow the weights of
     /// the teams that use capacity or ask for it.
     void markTeamsOverShare(std::vector<Candidate>&) const;
@@ -78,7 +84,6 @@
     /// Whether a task should wait for a worker near its data, because its job can still be on time, but not if the task
     /// runs elsewhere.
     bool shouldWaitForRack(const JobRow&, const TaskName&, const Workers&) const;
-    bool isWithinMaximum(const JobRow&, const ResourceAmount&) const;
     void planAttempt(JobRow&, const TaskName&, WorkerRow&, std::uint32_t run);
 
     JobTables& tables;
--- a/modules/jobs/tables/JobTables.cpp
+++ b/modules/jobs/tables/JobTables.cpp
@@ -148,6 +148,26 @@
     return job.record.queuePolicy ? &*job.record.queuePolicy : nullptr;
 }
 
+bool JobTables::isSetAside(const JobId& job, Instant now) const
+{
+    auto found = this->setAsideUntil.find(job);
+    return found != this->setAsideUntil.end() && !found->second.hasPassed(now);
+}
+
+bool JobTables::isWithinMaximum(const JobRow& job, const ResourceAmount& demand) const
+{
+    auto team = this->policies->teams.find(job.record.team);
+    if (team == this->policies->teams.end())
+        return true;
+    ResourceAmount use = demand;
+    if (auto found = this->usage.find(job.record.team); found != this->usage.end())
+        use += found->second;
+    auto isWithin = [](std::int64_t used, std::int64_t maximum) { return !maximum || used <= maximum; };
+    const ResourceAmount& maximum = team->second.maximum;
+    return isWithin(use.cpuMillis, maximum.cpuMillis) && isWithin(use.memoryMegabytes, maximum.memoryMegabytes)
+        && isWithin(use.accelerators, maximum.accelerators);
+}
+
 bool JobTables::isReady(
     const JobRow& job, const OccurrenceRow& occurrence, std::uint32_t step, std::int64_t nowUnixMs) const
 {
--- a/modules/jobs/tables/JobTables.h
+++ b/modules/jobs/tables/JobTables.h
@@ -56,6 +56,12 @@
     /// the job was accepted. Null if none is known, or no policies have been read yet.
     const QueuePolicy* policyOf(const JobRow&) const;
 
+    /// Whether no task of the job is started for now, because an unforeseen error came with its handling.
+    bool isSetAside(const JobId&, Instant now) const;
+
+    /// Whether the job's team stays within its maximum if it uses `demand` besides.
+    bool isWithinMaximum(const JobRow&, const ResourceAmount& demand) const;
+
     /// Whether tasks of the step can start: the steps that it depends on are done, and the occurrence is due.
     bool isReady(const JobRow&, const OccurrenceRow&, std::uint32_t step, std::int64_t nowUnixMs) const;
 
