jobs: size pools by memory as well as by processor time

What callers saw: long-running tasks that waited in a pool whose memory was full.

Cause: `PoolSizing` counted processor time only. The sum of the free memory does not tell either whether one worker has enough for a task.

Change: a pool has the VMs for the processor time and for the memory that is occupied and waiting. Tasks that only another worker could take, since the free memory is spread over several, make it grow beyond its present workers. Tasks that are larger than any VM and steps that require a label do not count, as no number of VMs would help them. Tasks that wait for the maximum of their team count as before.

Evidence: `aPoolGrowsIfItsMemoryIsFull` failed before (4 tasks waited for good), `aPoolGrowsIfItsFreeMemoryIsSpreadOverItsWorkers` too (3; 2 with the sums alone). `aPoolDoesNotGrowForATaskThatNoVmCanTake` fails without its condition (10 VMs in place of 4).

Tests run: jobs_tests whole, lint of the changed files.

--- a/modules/coordinator/placing/Coordinator.h
+++ b/modules/coordinator/placing/Coordinator.h
@@ -390,7 +390,7 @@
                     .add("workers", load.workers)
                     .add("cpu", load.capacity.cpuMillis)
                     .add("occupied", load.occupied.cpuMillis)
-                    .add("lasting", load.longRunningCpuMillis)
+                    .add("lasting", load.longRunning.cpuMillis)
                     .add("waiting", load.waiting.cpuMillis)
                     .add("waiting_tasks", load.waitingTasks));
         }
--- a/modules/jobs/systems/PoolLoad.cpp
+++ b/modules/jobs/systems/PoolLoad.cpp
@@ -1,14 +1,37 @@
 #include <jobs/systems/PoolLoad.h>
 
+#include <jobs/systems/PlacementSystem.h>
 #include <jobs/tables/JobTables.h>
 
 #include <algorithm>
+#include <vector>
 
 namespace Greengage {
 
 namespace {
 
-void addWaiting(PoolLoad& load, const JobTables& tables, const JobRow& job, std::int64_t nowUnixMs)
+using Workers = std::vector<const WorkerRow*>;
+
+ResourceAmount operator*(const ResourceAmount& amount, std::uint32_t count)
+{
+    return { amount.cpuMillis * count, amount.memoryMegabytes * count, amount.accelerators * count };
+}
+
+/// Whether no worker has free capacity for a task of the step, but one without tasks would have. Another worker may not
+/// have the label that a step requires, so that such steps do not count.
+bool needsAnotherWorker(const StepSpec& step, const Workers& workers)
+{
+    bool fitsInEmptyWorker = false;
+    for (const auto* worker : workers) {
+        if (PlacementSystem::canHost(*worker, step))
+            return false;
+        fitsInEmptyWorker = fitsInEmptyWorker || step.occupiedPerTask().fitsIn(worker->info.capacity);
+    }
+    return fitsInEmptyWorker && step.requiredLabel.empty();
+}
+
+void addWaiting(
+    PoolLoad& load, const Workers& workers, const JobTables& tables, const JobRow& job, std::int64_t nowUnixMs)
 {
     for (const auto& occurrence : job.occurrences) {
         for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
@@ -19,10 +42,10 @@
                     = std::max(load.minimumWorkers, (spec.taskCount + spec.perWorkerLimit - 1) / spec.perWorkerLimit);
             if (!count || !tables.isReady(job, occurrence, step, nowUnixMs))
                 continue;
-            const ResourceAmount& demand = spec.demand;
-            load.waiting += ResourceAmount { demand.cpuMillis * count, demand.memoryMegabytes * count,
-                demand.accelerators * count };
+            load.waiting += spec.demand * count;
             load.waitingTasks += count;
+            if (needsAnotherWorker(spec, workers))
+                load.unplaceable += spec.demand * count;
         }
     }
 }
@@ -32,22 +55,24 @@
 std::map<PoolId, PoolLoad> PoolLoad::measure(const JobTables& tables, std::int64_t nowUnixMs)
 {
     std::map<PoolId, PoolLoad> loads;
+    std::map<PoolId, Workers> workers;
     for (const auto& [id, worker] : tables.workers) {
         if (!worker.isListed || worker.isLeaving())
             continue;
         PoolLoad& load = loads[worker.info.pool];
         load.workers += 1;
+        workers[worker.info.pool].push_back(&worker);
         load.capacity += worker.info.capacity;
         load.occupied += worker.occupied;
         for (const auto& [task, attempt] : worker.attempts) {
             if (attempt.isLongRunning)
-                load.longRunningCpuMillis += attempt.occupied.cpuMillis;
+                load.longRunning += attempt.occupied;
         }
     }
     for (const auto& [id, job] : tables.jobs) {
         const QueuePolicy* queue = job.hasEnded() ? nullptr : tables.policyOf(job);
         if (queue)
-            addWaiting(loads[queue->pool], tables, job, nowUnixMs);
+            addWaiting(loads[queue->pool], workers[queue->pool], tables, job, nowUnixMs);
     }
     return loads;
 }
--- a/modules/jobs/systems/PoolLoad.h
+++ b/modules/jobs/systems/PoolLoad.h
@@ -15,11 +15,13 @@
     std::size_t workers = 0;
     ResourceAmount capacity;
     ResourceAmount occupied;
-    /// The processor time that long-running tasks occupy.
-    std::int64_t longRunningCpuMillis = 0;
+    /// What long-running tasks occupy.
+    ResourceAmount longRunning;
     /// The total demand of waiting tasks that are ready to start.
     ResourceAmount waiting;
     std::size_t waitingTasks = 0;
+    /// The part of it that only another worker could take, since the free capacity is spread over many workers.
+    ResourceAmount unplaceable;
     /// The largest number of workers that a step needs because of its limit of tasks per worker.
     std::uint32_t minimumWorkers = 0;
 
--- a/modules/jobs/systems/PoolSizing.cpp
+++ b/modules/jobs/systems/PoolSizing.cpp
@@ -18,9 +18,12 @@
     return std::exp(-static_cast<double>(age.count()) / static_cast<double>(window.count()));
 }
 
-std::int64_t vmsFor(std::int64_t cpuMillis, std::int64_t vmCpuMillis)
+std::int64_t vmsFor(std::int64_t amount, std::int64_t perVm) { return perVm ? (amount + perVm - 1) / perVm : 0; }
+
+/// Returns the number of VMs that together have this much processor time and this much memory.
+std::int64_t vmsFor(const ResourceAmount& amount, const ResourceAmount& perVm)
 {
-    return (cpuMillis + vmCpuMillis - 1) / vmCpuMillis;
+    return std::max(vmsFor(amount.cpuMillis, perVm.cpuMillis), vmsFor(amount.memoryMegabytes, perVm.memoryMegabytes));
 }
 
 } // namespace
@@ -73,7 +76,7 @@
     const std::map<PoolId, std::int64_t>& incoming, const std::set<VmId>& busy, const std::set<VmId>& pinned,
     Instant now, std::int64_t nowUnixMs) const
 {
-    std::map<PoolId, std::int64_t> poolCpuMillis;
+    std::map<PoolId, ResourceAmount> capacities;
     std::map<PoolId, Need> needs;
     for (const auto& [id, info] : vms) {
         auto policy = this->tables.policies->pools.find(info.pool);
@@ -84,7 +87,7 @@
             continue;
         Need& need = needs[info.pool];
         need.current += 1;
-        poolCpuMillis[info.pool] += info.capacity.cpuMillis;
+        capacities[info.pool] += info.capacity;
         if (this->isIdle(info) && !pinned.contains(id))
             need.idle.push_back(id);
     }
@@ -93,8 +96,7 @@
         if (policy.spare)
             continue;
         Need& need = needs[id];
-        std::int64_t vmCpuMillis = need.current ? std::max<std::int64_t>(1, poolCpuMillis[id] / need.current) : 0;
-        need.required = this->requiredVms(id, loads[id], vmCpuMillis, now);
+        need.required = this->requiredVms(id, loads[id], need.current, capacities[id], now);
         if (auto found = incoming.find(id); found != incoming.end())
             need.current += found->second;
     }
@@ -102,14 +104,17 @@
 }
 
 std::int64_t PoolSizing::requiredVms(
-    const PoolId& pool, const PoolLoad& load, std::int64_t vmCpuMillis, Instant now) const
+    const PoolId& pool, const PoolLoad& load, std::int64_t vmCount, const ResourceAmount& capacity, Instant now) const
 {
-    if (!vmCpuMillis)
+    if (!vmCount)
         return reserveVms;
-    std::int64_t present = load.occupied.cpuMillis + load.waiting.cpuMillis;
+    ResourceAmount vm { capacity.cpuMillis / vmCount, capacity.memoryMegabytes / vmCount, 0 };
     auto arriving = static_cast<std::int64_t>(this->arrivingCpuMillis(pool, now)) * arrivalMarginPercent / 100;
-    std::int64_t expected = load.longRunningCpuMillis + arriving;
-    std::int64_t forWork = vmsFor(std::max(present, expected), vmCpuMillis) + reserveVms;
+    ResourceAmount expected = load.longRunning;
+    expected.cpuMillis += arriving;
+    std::int64_t forWork = std::max(vmsFor(load.occupied + load.waiting, vm), vmsFor(expected, vm)) + reserveVms;
+    if (auto additional = vmsFor(load.unplaceable, vm))
+        forWork = std::max(forWork, static_cast<std::int64_t>(load.workers) + additional);
     return std::max<std::int64_t>(forWork, load.minimumWorkers + 1);
 }
 
--- a/modules/jobs/systems/PoolSizing.h
+++ b/modules/jobs/systems/PoolSizing.h
@@ -70,7 +70,9 @@
     double arrivingCpuMillis(const PoolId&, Instant now) const;
     std::map<PoolId, Need> measureNeeds(const std::map<VmId, VmInfo>&, const std::map<PoolId, std::int64_t>& incoming,
         const std::set<VmId>& busy, const std::set<VmId>& pinned, Instant now, std::int64_t nowUnixMs) const;
-    std::int64_t requiredVms(const PoolId&, const PoolLoad&, std::int64_t vmCpuMillis, Instant now) const;
+    /// `capacity` is that of the pool's `vmCount` VMs together.
+    std::int64_t requiredVms(
+        const PoolId&, const PoolLoad&, std::int64_t vmCount, const ResourceAmount& capacity, Instant now) const;
     bool isIdle(const VmInfo&) const;
     void growPools(std::map<PoolId, Need>&, std::vector<VmId>& spare, const PoolId& sparePool, std::vector<MoveOrder>&);
     void releaseIdleVms(std::map<PoolId, Need>&, const PoolId& sparePool, Instant now, std::vector<MoveOrder>&);
--- a/modules/jobs/tests/SizingTests.cpp
+++ b/modules/jobs/tests/SizingTests.cpp
@@ -2,6 +2,7 @@
 
 #include <jobs/model/MaintenanceWave.h>
 #include <jobs/systems/MaintenanceSystem.h>
+#include <jobs/systems/PoolLoad.h>
 #include <jobs/systems/PoolSizing.h>
 
 #include <boost/test/unit_test.hpp>
@@ -30,6 +31,35 @@
         return this->sizing.advance(this->vms, {}, {}, this->pinned, this->now, this->unixMs);
     }
 
+    /// Has the VMs arrive in the pools that they were ordered into.
+    void carryOut(const std::vector<MoveOrder>& orders)
+    {
+        for (const auto& order : orders) {
+            this->tables.workers.erase(this->vms.at(order.vm).worker);
+            this->addVm(order.vm.string(), order.to.string().c_str());
+        }
+    }
+
+    /// Sizes the pools and places tasks until nothing changes any more.
+    void settle()
+    {
+        this->placeAndRun();
+        for (auto orders = this->planMoves(); !orders.empty(); orders = this->planMoves()) {
+            this->carryOut(orders);
+            this->placeAndRun();
+        }
+    }
+
+    std::size_t waitingTasks() { return PoolLoad::measure(this->tables, this->unixMs)[PoolId("north")].waitingTasks; }
+
+    static StepSpec memoryHeavyStep(std::uint32_t tasks, std::int64_t memoryMegabytes)
+    {
+        StepSpec made = step(tasks, 500);
+        made.demand.memoryMegabytes = memoryMegabytes;
+        made.longRunning = true;
+        return made;
+    }
+
     std::map<VmId, VmInfo> vms;
     std::set<VmId> pinned;
     PoolSizing sizing { this->tables };
@@ -175,6 +205,42 @@
     BOOST_TEST(movesTo(this->planMoves(), "north") >= 4U);
 }
 
+/// Guards against tasks that wait for good in a pool whose memory is full while its processors are not.
+BOOST_AUTO_TEST_CASE(aPoolGrowsIfItsMemoryIsFull)
+{
+    for (int index = 0; index < 4; ++index)
+        this->addVm("n" + std::to_string(index), "north");
+    for (int index = 0; index < 8; ++index)
+        this->addVm("p" + std::to_string(index), "spare");
+    this->addJob("catalogue", { memoryHeavyStep(12, 30'000) });
+    this->settle();
+    BOOST_TEST(this->waitingTasks() == 0U);
+}
+
+/// Guards against the same where the free memory would do in total, but no worker has enough for one task.
+BOOST_AUTO_TEST_CASE(aPoolGrowsIfItsFreeMemoryIsSpreadOverItsWorkers)
+{
+    for (int index = 0; index < 10; ++index)
+        this->addVm("n" + std::to_string(index), "north");
+    for (int index = 0; index < 8; ++index)
+        this->addVm("p" + std::to_string(index), "spare");
+    this->addJob("catalogue", { memoryHeavyStep(13, 40'000) });
+    this->settle();
+    BOOST_TEST(this->waitingTasks() == 0U);
+}
+
+/// Guards against a pool that grows without end for a task that is larger than any VM.
+BOOST_AUTO_TEST_CASE(aPoolDoesNotGrowForATaskThatNoVmCanTake)
+{
+    for (int index = 0; index < 4; ++index)
+        this->addVm("n" + std::to_string(index), "north");
+    for (int index = 0; index < 8; ++index)
+        this->addVm("p" + std::to_string(index), "spare");
+    this->addJob("catalogue", { memoryHeavyStep(1, 70'000) });
+    this->settle();
+    BOOST_TEST(PoolLoad::measure(this->tables, this->unixMs)[PoolId("north")].workers == 4U);
+}
+
 BOOST_AUTO_TEST_CASE(aWaveTakesDownNoMoreVmsThanItsMaximum)
 {
     MaintenanceWave wave;
