coordinator: accept an incarnation whose start time is earlier than the last one

A worker whose clock was set back before it started again under its id reported an earlier start time. The leader dropped its reports and entries as those of a former incarnation, went on extending the lease, and counted the tasks of the former incarnation as running for ever.

A report answers a renewal that was sent after the last restart became known, since the answers to earlier ones are told apart by their number. So another start time in it is that of a later incarnation, in either direction. Directory entries still lag behind: one that looks earlier, or names an incarnation that a restart has replaced, changes nothing once the current one has reported.

--- a/modules/coordinator/placing/Coordinator.h
+++ b/modules/coordinator/placing/Coordinator.h
@@ -110,8 +110,8 @@
         this->session->areWorkersListed = true;
     }
 
-    /// Applies a new or changed entry of the worker directory. An entry of an earlier incarnation than the one that the
-    /// worker itself has reported is ignored.
+    /// Applies a new or changed entry of the worker directory, unless the worker itself has reported as another
+    /// incarnation that is not earlier.
     void updateWorker(const WorkerInfo& info)
     {
         if (!this->session)
@@ -121,7 +121,7 @@
         if (isNew)
             writeLog(LogLevel::Info,
                 LogLine("worker_listed").add("worker", info.id.string()).add("pool", info.pool.string()));
-        else if (info.incarnationUnixMs < worker.info.incarnationUnixMs && worker.isReached)
+        else if (worker.isOutdated(info.incarnationUnixMs))
             return;
         else if (info.incarnationUnixMs != worker.info.incarnationUnixMs)
             this->session->leases.handleRestart(worker, info.incarnationUnixMs, BootClock::now());
--- a/modules/coordinator/placing/LeaseManager.h
+++ b/modules/coordinator/placing/LeaseManager.h
@@ -83,6 +83,8 @@
                 .add("to", incarnationUnixMs)
                 .add("lost", earlier - worker.attempts.size())
                 .add("in_doubt", worker.attempts.size() + worker.orphans.size()));
+        worker.formerIncarnations.insert(worker.info.incarnationUnixMs);
+        worker.formerIncarnations.erase(incarnationUnixMs);
         worker.info.incarnationUnixMs = incarnationUnixMs;
         worker.hasRestarted = true;
         worker.needsHigherToken = true;
@@ -260,10 +262,9 @@
             return;
         }
         const WorkerReport& report = result.value();
-        if (report.incarnationUnixMs && worker->info.incarnationUnixMs
-            && report.incarnationUnixMs < worker->info.incarnationUnixMs)
-            return;
-        if (report.incarnationUnixMs > worker->info.incarnationUnixMs) {
+        // Answers to renewals that were sent before a restart was known are left out by their number, so another start
+        // time is that of a later incarnation, even if the worker's clock was set back and it looks earlier.
+        if (report.incarnationUnixMs && report.incarnationUnixMs != worker->info.incarnationUnixMs) {
             if (worker->info.incarnationUnixMs)
                 this->handleRestart(*worker, report.incarnationUnixMs, now);
             worker->info.incarnationUnixMs = report.incarnationUnixMs;
--- a/modules/coordinator/tests/FakeWorkers.h
+++ b/modules/coordinator/tests/FakeWorkers.h
@@ -73,15 +73,15 @@
     }
 
     /// Crashes a worker and starts it again under its id. It knows nothing of before, and calls that wait for an answer
-    /// get none.
-    void restart(const WorkerId& id)
+    /// get none. By its clock, which may have been set back, it starts `laterByMs` after its former incarnation.
+    void restart(const WorkerId& id, std::int64_t laterByMs = 1)
     {
         std::int64_t earlier = this->workers[id].incarnationUnixMs;
         this->endDueTasks(this->workers[id]);
         for (const auto& end : this->workers[id].ended)
             this->forgottenDone[end.task] += end.kind == EndKind::Done ? 1 : 0;
         this->workers[id] = {};
-        this->workers[id].incarnationUnixMs = earlier + 1;
+        this->workers[id].incarnationUnixMs = earlier + laterByMs;
         this->workers[id].startedAtMs = clockMs();
     }
 
--- a/modules/coordinator/tests/WorkerRestartTests.cpp
+++ b/modules/coordinator/tests/WorkerRestartTests.cpp
@@ -26,10 +26,10 @@
         BOOST_REQUIRE(this->runUntil([this] { return this->first->link.loseStarts == 0; }));
     }
 
-    void restartWorkers()
+    void restartWorkers(std::int64_t laterByMs = 1)
     {
         for (const auto& info : FakeDaemon::directory())
-            this->workers.restart(info.id);
+            this->workers.restart(info.id, laterByMs);
     }
 
     /// Submits a job of one task, whose first start order arrives after three seconds and whose further ones are lost.
--- a/modules/jobs/tables/WorkerRow.h
+++ b/modules/jobs/tables/WorkerRow.h
@@ -33,6 +33,9 @@
     /// Whether the worker is known to have started again under its id, so that its lease may be longer than the one
     /// that a leader has asked for.
     bool hasRestarted = false;
+    /// The start times of the incarnations before the current one, in Unix milliseconds. A clock that was set back
+    /// makes them look later.
+    std::set<std::int64_t> formerIncarnations;
     /// The token of orders to the worker. It rises with each incarnation, so that the worker refuses orders that were
     /// sent to an earlier one and held up. Zero until the first order.
     std::int64_t fencingToken = 0;
@@ -54,6 +57,15 @@
     /// The VM was ordered into another pool, and it is not known yet what became of the order.
     bool isMoveOrdered = false;
 
+    /// Whether a directory entry with this start time tells nothing, because the worker itself has reported as another
+    /// incarnation. An entry that looks earlier may be that of a new one, which its reports will show.
+    bool isOutdated(std::int64_t incarnationUnixMs) const
+    {
+        return this->isReached
+            && (incarnationUnixMs < this->info.incarnationUnixMs
+                || this->formerIncarnations.contains(incarnationUnixMs));
+    }
+
     /// Whether no attempt may start on the worker, because it shuts down or its VM is about to be taken down.
     bool isLeaving() const { return this->info.draining || this->isDrainOrdered || this->isMoveOrdered; }
 
