coordinator: leaders act no longer than the next one counts on; take-overs in virtual time

Seen by the model that this adds, not by callers: around a hand-over a leader could send orders, and extend leases, after the next one had counted its time as over. The tasks of workers that only the earlier leader reaches could then run twice.

The leader's record now says for how long. Also, an answer that arrives after the watch has shown a later leader starts no term.

takeover_tests drive the real Coordinator, with a clock, timers and delayed calls that are replaced when the program is linked: no real time passes.

--- a/modules/coordinator/leadership/LeaderRecord.h
+++ b/modules/coordinator/leadership/LeaderRecord.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <core/text/Identifier.h>
+#include <core/time/Instant.h>
 
 #include <cstdint>
 #include <optional>
@@ -16,6 +17,9 @@
     IncarnationId incarnation;
     /// Rises by one with each leader.
     std::uint32_t epoch = 0;
+    /// How long leaders before this one may send orders after this record was written, at most. Earlier versions do not
+    /// store it.
+    std::optional<Milliseconds> earlierOrdersFor = std::nullopt;
 
     std::string encode() const;
 
--- a/modules/coordinator/leadership/Leadership.h
+++ b/modules/coordinator/leadership/Leadership.h
@@ -141,18 +141,32 @@
 private:
     void handOver(std::string_view reason)
     {
-        LeaderRecord vacant { DaemonId(), this->self.incarnation, this->term->epoch };
+        LeaderRecord vacant { DaemonId(), this->self.incarnation, this->term->epoch,
+            Leadership::remainingRoundedUp(this->term->earlierOrdersExpire) };
         KvCommit commit { { this->condition() }, { { StoreKeys::leader, vacant.encode() } }, {} };
         this->addOfferRemoval(commit);
         this->stepDown(reason);
         // Applied before the store reports the change, so that the leadership is not acquired again at once.
-        this->leader = vacant;
+        this->setLeader(vacant);
         this->store.commit(commit, [](auto result) {
             if (!result.has_value())
                 writeLog(LogLevel::Warning, LogLine("resignation_failed").add("reason", nameOf(result.error())));
         });
     }
 
+    static Milliseconds remainingRoundedUp(Deadline deadline)
+    {
+        return std::chrono::ceil<Milliseconds>(deadline.remaining(BootClock::now()));
+    }
+
+    /// Applies the record of the leader key that has just been read or written; nothing if it could not be read.
+    void setLeader(std::optional<LeaderRecord> record)
+    {
+        this->leader = std::move(record);
+        Milliseconds span = this->leader ? this->leader->earlierOrdersFor.value_or(validity) : validity;
+        this->earlierOrdersExpire = Deadline::after(BootClock::now(), span);
+    }
+
     void handleListing(const KvListing& listing)
     {
         this->leader.reset();
@@ -217,16 +231,15 @@
     void handleLeaderKey(const KvItem& item)
     {
         this->leaderRevision = item.isRemoved ? 0 : item.revision;
-        this->leader = item.isRemoved ? std::nullopt : LeaderRecord::decode(item.value);
+        this->setLeader(item.isRemoved ? std::nullopt : LeaderRecord::decode(item.value));
         if (this->term && item.revision > this->term->fencingToken)
             this->stepDown("another daemon has acquired the leader key");
         // The answer to our own acquisition may have been lost.
         bool isOwn = this->leader && this->leader->daemon == this->self.daemon
             && this->leader->incarnation == this->self.incarnation;
-        if (isOwn && !this->term && !this->isResigning && item.revision > this->lastToken) {
-            this->earlierOrdersExpire = Deadline::after(BootClock::now(), validity);
-            this->becomeLeader(item.revision, BootClock::now());
-        }
+        // How old the answer to the watch is cannot be told, so no order is sent before a heartbeat is confirmed.
+        if (isOwn && !this->term && !this->isResigning && item.revision > this->lastToken)
+            this->becomeLeader(item.revision, Deadline());
     }
 
     void handleHeartbeat(const KvItem& item, Instant now)
@@ -282,7 +295,7 @@
             if (!this->leader)
                 headStart += largerDaemonHeadStart;
             if (isPreferred || now - *this->vacantSince >= headStart)
-                this->acquire(Milliseconds(0), now);
+                this->acquire(Leadership::remainingRoundedUp(this->earlierOrdersExpire), now);
             return;
         }
         Instant timeoutStart = std::max(this->heartbeatSeenAt, *this->storeReachableSince);
@@ -304,11 +317,13 @@
         });
     }
 
-    void acquire(Milliseconds earlierValidity, Instant now)
+    /// Acquires the leadership. Earlier leaders may send orders for the time given after the store has applied this:
+    /// until then it may go on confirming the leadership of the last one. So the time is counted from the answer.
+    void acquire(Milliseconds earlierOrdersFor, Instant now)
     {
-        this->earlierOrdersExpire = Deadline::after(now, earlierValidity);
         LeaderRecord record = this->self;
         record.epoch = this->leader ? this->leader->epoch + 1 : 0;
+        record.earlierOrdersFor = earlierOrdersFor;
         KvCommit commit { { { StoreKeys::leader, this->leaderRevision } },
             { { StoreKeys::leader, record.encode() }, { StoreKeys::heartbeat, this->handlers.makeHeartbeatPayload() } },
             {} };
@@ -318,22 +333,30 @@
             this->isAcquiring = false;
             if (!result.has_value() || !result.value().isCommitted || this->isResigning)
                 return;
-            this->leader = record;
-            this->leaderRevision = result.value().revision;
-            this->becomeLeader(result.value().revision, now);
+            std::int64_t token = result.value().revision;
+            // The watch may have been answered first, and may have shown a later leader as well.
+            if (token < this->leaderRevision)
+                return;
+            if (this->term && this->term->fencingToken == token)
+                this->confirm(now);
+            if (token <= this->lastToken)
+                return;
+            this->setLeader(record);
+            this->leaderRevision = token;
+            this->becomeLeader(token, Deadline::after(now, validity));
         });
     }
 
-    void becomeLeader(std::int64_t token, Instant confirmedAt)
+    void becomeLeader(std::int64_t token, Deadline confirmedUntil)
     {
         if (this->term)
             return;
         this->lastToken = token;
         this->highestToken = token;
-        Deadline expiry = std::max(this->earlierOrdersExpire, Deadline(confirmedAt));
-        this->term = Term { token, this->leader->epoch, expiry };
-        this->actUntil = Deadline::after(confirmedAt, validity);
-        this->nextHeartbeat = Deadline::after(BootClock::now(), heartbeatPeriod);
+        this->term = Term { token, this->leader->epoch, this->earlierOrdersExpire };
+        this->actUntil = confirmedUntil;
+        Instant now = BootClock::now();
+        this->nextHeartbeat = confirmedUntil.hasPassed(now) ? Deadline(now) : Deadline::after(now, heartbeatPeriod);
         writeLog(LogLevel::Info, LogLine("leadership_won").add("token", token).add("epoch", this->leader->epoch));
         this->handlers.onWon(*this->term);
     }
@@ -359,6 +382,7 @@
     std::optional<Term> term;
     Deadline actUntil;
     Deadline nextHeartbeat;
+    /// Until when leaders before the one that `leader` names may send orders.
     Deadline earlierOrdersExpire;
     /// This daemon does not acquire the leadership before.
     Deadline acquireFrom;
--- a/modules/coordinator/tests/After.h
+++ b/modules/coordinator/tests/After.h
@@ -1,24 +1,15 @@
 #pragma once
 
-#include <core/errors/ErrorBoundary.h>
 #include <core/time/Instant.h>
 
-#include <event2/event.h>
 #include <functional>
-#include <memory>
-#include <sys/time.h>
+
+struct event_base;
 
 namespace Greengage {
 
-/// Calls back once from the loop, after the delay, as the answer to a call would.
-inline void after(event_base& base, Milliseconds delay, std::function<void()> action)
-{
-    timeval span { delay.count() / 1000, (delay.count() % 1000) * 1000 };
-    auto call = [](evutil_socket_t, short, void* context) {
-        std::unique_ptr<std::function<void()>> taken(static_cast<std::function<void()>*>(context));
-        ErrorBoundary::run(ErrorEffect::StateInDoubt, WorkKind::CallAnswer, {}, *taken);
-    };
-    event_base_once(&base, -1, EV_TIMEOUT, call, new std::function<void()>(std::move(action)), &span);
-}
+/// Calls back once from the loop, after the delay, as the answer to a call would. Programs that run in virtual time
+/// link a definition of their own.
+void after(event_base& base, Milliseconds delay, std::function<void()> action);
 
 } // namespace Greengage
--- a/modules/coordinator/tests/FakeWorkers.h
+++ b/modules/coordinator/tests/FakeWorkers.h
@@ -28,6 +28,8 @@
         std::int64_t incarnationUnixMs = 1;
         /// When the incarnation began; its clock counts from then.
         std::int64_t startedAtMs = 0;
+        /// The speed of its clock, in percent of ours.
+        std::int64_t clockPercent = 100;
         std::int64_t fence = 0;
         std::int64_t leaseUntilMs = 0;
         std::map<TaskName, Run> running;
@@ -64,7 +66,10 @@
         return std::chrono::duration_cast<Milliseconds>(BootClock::now().time_since_epoch()).count();
     }
 
-    static std::int64_t clockOf(const Worker& worker) { return clockMs() - worker.startedAtMs; }
+    static std::int64_t clockOf(const Worker& worker)
+    {
+        return (clockMs() - worker.startedAtMs) * worker.clockPercent / 100;
+    }
 
     void extendLease(Worker& worker, std::int64_t untilMs) const
     {
--- a/modules/coordinator/tests/LeadershipTests.cpp
+++ b/modules/coordinator/tests/LeadershipTests.cpp
@@ -85,4 +85,16 @@
     BOOST_TEST(first->token > second->token);
 }
 
+/// Guards against a mix of versions in which a hand-over of the earlier one is read as one without earlier orders.
+BOOST_AUTO_TEST_CASE(theRecordOfAnEarlierVersionLeavesOpenHowLongEarlierLeadersAct)
+{
+    auto earlier = LeaderRecord::decode(R"({"daemon":"","epoch":3,"incarnation":"1"})");
+    BOOST_REQUIRE(earlier.has_value());
+    BOOST_TEST(!earlier->earlierOrdersFor.has_value());
+    earlier->earlierOrdersFor = Milliseconds(0);
+    auto present = LeaderRecord::decode(earlier->encode());
+    BOOST_REQUIRE(present.has_value());
+    BOOST_TEST((present->earlierOrdersFor == Milliseconds(0)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/takeovers/ModelWorld.cpp
@@ -0,0 +1,255 @@
+#include <tests/takeovers/ModelWorld.h>
+
+#include <event2/event.h>
+
+namespace Greengage {
+
+namespace {
+
+constexpr std::size_t workerCount = 4;
+
+std::shared_ptr<const JobPolicies> makePolicies()
+{
+    auto policies = std::make_shared<JobPolicies>();
+    policies->version = 1;
+    policies->pools[PoolId("north")] = { PoolId("north"), false, true };
+    QueuePolicy queue;
+    queue.id = QueueId("quick");
+    queue.pool = PoolId("north");
+    queue.maxAttempts = 3;
+    policies->queues[queue.id] = queue;
+    return policies;
+}
+
+} // namespace
+
+ModelWorld::ModelWorld(std::uint64_t seed, std::size_t daemonCount)
+    : random(seed * 1000 + daemonCount)
+    , seed(seed)
+    , base(event_base_new())
+    , lastActed(VirtualLoop::shared().now())
+{
+    this->workers.taskLength = Milliseconds(100'000'000);
+    this->workers.longestLease = this->limits.longestGrantedLease;
+    for (const auto& info : this->directory()) {
+        auto& worker = this->workers.workers[info.id];
+        worker.startedAtMs = FakeWorkers::clockMs();
+        worker.clockPercent = 98 + static_cast<std::int64_t>(this->random() % 3);
+    }
+    this->daemons.resize(daemonCount);
+    for (std::size_t index = 0; index < daemonCount; ++index)
+        this->start(index);
+    this->sample();
+}
+
+ModelWorld::~ModelWorld()
+{
+    VirtualLoop::shared().clear();
+    this->daemons.clear();
+}
+
+bool ModelWorld::runUntil(const std::function<bool()>& condition, Milliseconds atMost)
+{
+    auto deadline = Deadline::after(BootClock::now(), atMost);
+    while (!condition() && !deadline.hasPassed(BootClock::now()))
+        this->runFor(samplePeriod);
+    return condition();
+}
+
+ModelDaemon* ModelWorld::actingLeader()
+{
+    Instant now = BootClock::now();
+    ModelDaemon* leader = nullptr;
+    for (auto& daemon : this->daemons) {
+        bool acts = daemon && !daemon->process->isFrozen(now) && daemon->mayAct(now);
+        if (acts && (!leader || daemon->token() > leader->token()))
+            leader = daemon.get();
+    }
+    return leader;
+}
+
+void ModelWorld::start(std::size_t index)
+{
+    this->kill(index);
+    this->incarnations += 1;
+    this->limits.cpuMillis = index % 2 ? 500 : 1000;
+    IncarnationId incarnation(std::to_string(this->incarnations));
+    this->daemons[index] = std::make_unique<ModelDaemon>(
+        *this->base, this->tables, this->random, this->workers,
+        [this](const WorkerId& worker, std::int64_t token) { this->handleLease(worker, token); },
+        ModelWorld::idOf(index), incarnation, this->limits);
+    ModelDaemon& daemon = *this->daemons[index];
+    VirtualLoop::shared().runAs(daemon.process, [this, &daemon] {
+        daemon.coordinator.setPolicies(makePolicies());
+        daemon.coordinator.onWorkerWatchNeeded([this, &daemon](bool isNeeded) {
+            if (isNeeded)
+                daemon.coordinator.setWorkers(this->directory());
+        });
+        daemon.coordinator.start();
+    });
+}
+
+void ModelWorld::kill(std::size_t index)
+{
+    if (!this->daemons[index])
+        return;
+    this->daemons[index]->process->isKilled = true;
+    this->daemons[index].reset();
+}
+
+void ModelWorld::freeze(std::size_t index, Milliseconds span)
+{
+    if (this->daemons[index])
+        this->daemons[index]->process->frozenUntil = BootClock::now() + span;
+}
+
+bool ModelWorld::hasAcquired(std::size_t index) const
+{
+    auto found = this->tables.items.find(StoreKeys::leader);
+    auto record = found == this->tables.items.end() ? std::nullopt : LeaderRecord::decode(found->second.value);
+    return record && record->daemon == ModelWorld::idOf(index);
+}
+
+std::size_t ModelWorld::indexOf(const ModelDaemon& daemon) const
+{
+    std::size_t index = 0;
+    while (this->daemons[index].get() != &daemon)
+        ++index;
+    return index;
+}
+
+void ModelWorld::submitJob(std::uint32_t tasks)
+{
+    JobRecord record;
+    record.id = JobId("j");
+    record.queue = QueueId("quick");
+    StepSpec step;
+    step.taskCount = tasks;
+    step.demand = { 4000, 10, 0 };
+    step.estimate = Milliseconds(100);
+    step.longRunning = true;
+    record.spec.steps = { step };
+    ModelDaemon& daemon = *this->daemons.front();
+    VirtualLoop::shared().runAs(daemon.process, [&daemon, &record] {
+        daemon.jobService.submit(record, Deadline::after(BootClock::now(), Seconds(5)), [](JobRequestOutcome) {});
+    });
+}
+
+std::size_t ModelWorld::runningTasks()
+{
+    std::size_t count = 0;
+    for (auto& [id, worker] : this->workers.workers) {
+        this->workers.endDueTasks(worker);
+        count += worker.running.size();
+    }
+    return count;
+}
+
+void ModelWorld::sample()
+{
+    VirtualLoop::shared().schedule(samplePeriod, nullptr, [this] { this->sample(); });
+    this->noteTerms();
+    Instant now = BootClock::now();
+    bool hasLeader = false;
+    for (auto& daemon : this->daemons) {
+        if (!daemon || daemon->process->isFrozen(now) || !daemon->mayAct(now))
+            continue;
+        hasLeader = true;
+        this->checkOrders(*daemon);
+    }
+    if (hasLeader) {
+        if (now - this->lastActed > samplePeriod)
+            this->gaps.push_back(std::chrono::duration_cast<Milliseconds>(now - this->lastActed));
+        this->lastActed = now;
+    }
+}
+
+void ModelWorld::noteTerms()
+{
+    for (auto& daemon : this->daemons) {
+        if (!daemon || !daemon->coordinator.isLeader())
+            continue;
+        const Term& term = daemon->coordinator.leadershipState().currentTerm();
+        bool isKnown = std::any_of(this->terms.begin(), this->terms.end(),
+            [&term](const SeenTerm& seen) { return seen.token == term.fencingToken; });
+        if (isKnown)
+            continue;
+        this->takeovers += this->terms.empty() ? 0 : 1;
+        this->terms.push_back({ term.fencingToken, BootClock::now(), term.earlierOrdersExpire });
+        if (this->terms.size() > comparedTerms)
+            this->terms.erase(this->terms.begin());
+        Instant leasesExpire
+            = term.earlierOrdersExpire.at() + LeaseManager<ModelLink>::longestLease(this->limits.leaseDuration);
+        VirtualLoop::shared().schedule(
+            leasesExpire - BootClock::now(), nullptr, [this, token = term.fencingToken] { this->checkLeases(token); });
+    }
+}
+
+void ModelWorld::checkOrders(ModelDaemon& daemon)
+{
+    Instant now = BootClock::now();
+    bool sendsUnfenced = daemon.coordinator.leadershipState().maySendUnfencedOrders(now);
+    for (const auto& term : this->terms) {
+        if (term.token <= daemon.token())
+            continue;
+        if (term.earlierOrdersExpire.hasPassed(now))
+            this->violate("a leader acts longer than the next one counts on", term.token);
+        if (sendsUnfenced && Deadline::after(term.wonAt, this->limits.unfencedOrderDelay).hasPassed(now))
+            this->violate("unfenced orders of two leaders at a time", term.token);
+    }
+}
+
+void ModelWorld::handleLease(const WorkerId& id, std::int64_t token)
+{
+    this->noteTerms();
+    for (auto& daemon : this->daemons) {
+        if (daemon && daemon->coordinator.isLeader() && daemon->process == VirtualLoop::shared().running())
+            this->checkOrders(*daemon);
+    }
+    const auto& worker = this->workers.workers[id];
+    if (worker.fence != token)
+        return;
+    std::int64_t endMs = worker.startedAtMs + worker.leaseUntilMs * 100 / worker.clockPercent;
+    this->leaseEnds[id][token] = Instant(Milliseconds(endMs));
+    if (this->workers.startedTwice.empty())
+        return;
+    this->violate("a task ran twice", token);
+    this->workers.startedTwice.clear();
+}
+
+void ModelWorld::checkLeases(std::int64_t token)
+{
+    Instant now = BootClock::now();
+    for (const auto& [id, ends] : this->leaseEnds) {
+        for (const auto& [granted, end] : ends) {
+            bool isRenewedLater = this->workers.workers[id].fence >= token;
+            if (granted < token && end > now && !isRenewedLater)
+                this->violate("the lease of a worker lasts longer than the next leader counts on", token);
+        }
+    }
+}
+
+void ModelWorld::violate(const std::string& what, std::int64_t token)
+{
+    if (!this->noted.emplace(what, token).second)
+        return;
+    auto at = std::chrono::duration_cast<Milliseconds>(BootClock::now().time_since_epoch()).count();
+    this->violations.push_back("seed " + std::to_string(this->seed) + ", " + std::to_string(this->daemons.size())
+        + " daemons, at " + std::to_string(at) + " ms: " + what);
+}
+
+std::vector<WorkerInfo> ModelWorld::directory() const
+{
+    std::vector<WorkerInfo> listed;
+    for (std::size_t index = 0; index < workerCount; ++index) {
+        WorkerInfo info;
+        info.id = WorkerId("w" + std::to_string(index));
+        info.pool = PoolId("north");
+        info.capacity = { 8000, 64'000, 0 };
+        info.incarnationUnixMs = 1;
+        listed.push_back(info);
+    }
+    return listed;
+}
+
+} // namespace Greengage
--- /dev/null
+++ b/tests/takeovers/ModelWorld.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include <loop/memory/EventDeleter.h>
+#include <tests/takeovers/ModelDaemon.h>
+
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace Greengage {
+
+/// Daemons, workers and a store of the model. The world watches all that leaders do and notes what breaks a guarantee.
+class ModelWorld {
+public:
+    ModelWorld(std::uint64_t seed, std::size_t daemonCount);
+    ~ModelWorld();
+
+    ModelWorld(const ModelWorld&) = delete;
+    ModelWorld& operator=(const ModelWorld&) = delete;
+
+    void runFor(Milliseconds span) { VirtualLoop::shared().runFor(span); }
+
+    /// Runs until the condition holds. Returns false if it does not hold in time.
+    bool runUntil(const std::function<bool()>& condition, Milliseconds atMost);
+
+    /// The daemon that leads and may act, of several the one with the highest token; null if there is none.
+    ModelDaemon* actingLeader();
+
+    /// Starts the daemon with this index, as a new incarnation if it had run before.
+    void start(std::size_t index);
+    void kill(std::size_t index);
+    void freeze(std::size_t index, Milliseconds span);
+    /// Whether the store names the daemon with this index as the leader.
+    bool hasAcquired(std::size_t index) const;
+    std::size_t indexOf(const ModelDaemon& daemon) const;
+
+    /// Hands in a job of long-running tasks.
+    void submitJob(std::uint32_t tasks);
+
+    /// The tasks that run on workers now.
+    std::size_t runningTasks();
+
+    std::vector<std::unique_ptr<ModelDaemon>> daemons;
+    FakeWorkers workers;
+    std::mt19937_64 random;
+    /// What broke a guarantee, in words.
+    std::vector<std::string> violations;
+    /// How long no daemon could act, each time.
+    std::vector<Milliseconds> gaps;
+    std::size_t takeovers = 0;
+
+private:
+    /// A term as it began.
+    struct SeenTerm {
+        std::int64_t token = 0;
+        Instant wonAt;
+        Deadline earlierOrdersExpire;
+    };
+
+    /// How often the world looks at all daemons.
+    static constexpr Milliseconds samplePeriod { 10 };
+    /// How many of the latest terms are checked against each other.
+    static constexpr std::size_t comparedTerms = 6;
+
+    static DaemonId idOf(std::size_t index) { return DaemonId("d" + std::to_string(index)); }
+
+    void sample();
+    void noteTerms();
+    void checkOrders(ModelDaemon& daemon);
+    void handleLease(const WorkerId& id, std::int64_t token);
+    /// Checks that no lease is left of those that leaders before this one have granted.
+    void checkLeases(std::int64_t token);
+    /// Notes once for each term what it broke.
+    void violate(const std::string& what, std::int64_t token);
+    std::vector<WorkerInfo> directory() const;
+
+    std::uint64_t seed;
+    EventPointer<event_base> base;
+    ModelTables tables;
+    CoordinatorLimits limits;
+    std::vector<SeenTerm> terms;
+    /// The end of the leases that workers hold, by the tokens of the leaders that granted them.
+    std::map<WorkerId, std::map<std::int64_t, Instant>> leaseEnds;
+    std::set<std::pair<std::string, std::int64_t>> noted;
+    Instant lastActed;
+    std::size_t incarnations = 0;
+};
+
+} // namespace Greengage
--- /dev/null
+++ b/tests/takeovers/TakeoverPlay.cpp
@@ -0,0 +1,116 @@
+#include <tests/takeovers/TakeoverPlay.h>
+
+namespace Greengage {
+
+void TakeoverPlay::play(std::size_t rounds)
+{
+    this->world.runUntil([this] { return this->world.actingLeader(); }, Seconds(10));
+    this->world.submitJob(5);
+    this->world.runFor(Seconds(3));
+    for (std::size_t round = 0; round < rounds; ++round)
+        this->playRound();
+}
+
+void TakeoverPlay::playRound()
+{
+    this->cutWorkers();
+    if (this->happens(30)) {
+        for (auto& daemon : this->world.daemons) {
+            if (daemon)
+                *daemon->store.faults = { false, false, 20, 20, 20, Milliseconds(0) };
+        }
+    }
+    std::size_t losses = 1 + this->world.random() % 3;
+    for (std::size_t loss = 0; loss < losses; ++loss) {
+        if (!this->world.runUntil([this] { return this->world.actingLeader(); }, Seconds(6)))
+            break;
+        this->harmLeader();
+        this->world.runFor(this->between(10, 5000));
+    }
+    this->world.runFor(this->between(500, 8000));
+    this->healAll();
+    if (!this->world.runUntil([this] { return this->world.actingLeader(); }, Seconds(6)))
+        this->world.violations.push_back("no leader 6 s after the last fault");
+    this->world.runFor(Seconds(3));
+}
+
+void TakeoverPlay::harmLeader()
+{
+    ModelDaemon* leader = this->world.actingLeader();
+    if (!leader)
+        return;
+    std::size_t index = this->world.indexOf(*leader);
+    switch (this->world.random() % 8) {
+    case 0:
+        this->world.kill(index);
+        TakeoverPlay::later(this->between(200, 8000), [this, index] { this->world.start(index); });
+        break;
+    case 1:
+    case 2:
+        this->world.freeze(index, this->between(200, 8000));
+        break;
+    case 3:
+        VirtualLoop::shared().runAs(leader->process, [leader] { leader->coordinator.resign(); });
+        TakeoverPlay::later(this->between(50, 3000), [this, index] { this->world.start(index); });
+        break;
+    case 4:
+        VirtualLoop::shared().runAs(leader->process, [leader] {
+            leader->coordinator.handleError({ ErrorEffect::StateInDoubt, "injected", {} });
+        });
+        break;
+    default:
+        this->harmStoreAccess(*leader);
+    }
+}
+
+void TakeoverPlay::harmStoreAccess(ModelDaemon& daemon)
+{
+    auto faults = daemon.store.faults;
+    switch (this->world.random() % 3) {
+    case 0:
+        faults->isCutOff = true;
+        break;
+    case 1:
+        faults->isRefusing = true;
+        break;
+    default:
+        *faults = { false, false, 60, 40, 60, Milliseconds(0) };
+    }
+    TakeoverPlay::later(this->between(300, 6000), [faults] { *faults = {}; });
+}
+
+void TakeoverPlay::cutWorkers()
+{
+    for (const auto& [id, worker] : this->world.workers.workers) {
+        if (!this->happens(40))
+            continue;
+        for (auto& daemon : this->world.daemons) {
+            if (daemon && this->happens(50))
+                daemon->link.fake.unreachable.insert(id);
+        }
+    }
+}
+
+void TakeoverPlay::healAll()
+{
+    for (std::size_t index = 0; index < this->world.daemons.size(); ++index) {
+        auto& daemon = this->world.daemons[index];
+        if (!daemon)
+            this->world.start(index);
+        daemon->process->frozenUntil = std::min(daemon->process->frozenUntil, BootClock::now());
+        *daemon->store.faults = {};
+        daemon->link.fake.unreachable.clear();
+    }
+}
+
+void TakeoverPlay::later(Milliseconds delay, std::function<void()> action)
+{
+    VirtualLoop::shared().schedule(delay, nullptr, std::move(action));
+}
+
+Milliseconds TakeoverPlay::between(std::int64_t least, std::int64_t most)
+{
+    return Milliseconds(least + static_cast<std::int64_t>(this->world.random() % (most - least)));
+}
+
+} // namespace Greengage
--- /dev/null
+++ b/tests/takeovers/TakeoverPlay.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <tests/takeovers/ModelWorld.h>
+
+namespace Greengage {
+
+/// Plays take-overs drawn from a seed: leaders that are killed, frozen, cut off, refused or misled by the store, alone
+/// and in chains.
+class TakeoverPlay {
+public:
+    TakeoverPlay(std::uint64_t seed, std::size_t daemonCount)
+        : world(seed, daemonCount)
+    {
+    }
+
+    void play(std::size_t rounds);
+
+    ModelWorld world;
+
+private:
+    void playRound();
+    void harmLeader();
+    void harmStoreAccess(ModelDaemon& daemon);
+    void cutWorkers();
+    void healAll();
+
+    /// Runs the action after the delay, unless the world has ended.
+    static void later(Milliseconds delay, std::function<void()> action);
+    Milliseconds between(std::int64_t least, std::int64_t most);
+    bool happens(unsigned percent) { return this->world.random() % 100 < percent; }
+};
+
+} // namespace Greengage
--- /dev/null
+++ b/tests/takeovers/TakeoverTests.cpp
@@ -0,0 +1,75 @@
+#include <tests/takeovers/TakeoverPlay.h>
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <cstdlib>
+#include <iostream>
+
+using namespace Greengage;
+
+namespace {
+
+/// What the plays of several seeds have shown.
+struct Summary {
+    static constexpr std::size_t printedViolations = 20;
+
+    std::size_t takeovers = 0;
+    std::vector<Milliseconds> gaps;
+    std::vector<std::string> violations;
+
+    void add(const ModelWorld& world)
+    {
+        this->takeovers += world.takeovers;
+        this->gaps.insert(this->gaps.end(), world.gaps.begin(), world.gaps.end());
+        this->violations.insert(this->violations.end(), world.violations.begin(), world.violations.end());
+    }
+
+    std::int64_t gapAt(std::size_t perMille) const
+    {
+        return this->gaps.empty() ? 0 : this->gaps[(this->gaps.size() - 1) * perMille / 1000].count();
+    }
+
+    void print(std::size_t daemons)
+    {
+        std::sort(this->gaps.begin(), this->gaps.end());
+        std::cout << daemons << " daemons: " << this->takeovers << " take-overs, " << this->violations.size()
+                  << " violations; without a leader " << this->gaps.size() << " times, ms: median " << this->gapAt(500)
+                  << ", 90% " << this->gapAt(900) << ", 99% " << this->gapAt(990) << ", longest " << this->gapAt(1000)
+                  << std::endl;
+        for (std::size_t index = 0; index < std::min(this->violations.size(), printedViolations); ++index)
+            std::cout << "  " << this->violations[index] << std::endl;
+    }
+};
+
+/// Plays until there were `atLeast` take-overs.
+void playTakeovers(std::size_t daemons, std::size_t atLeast)
+{
+    startLog(LogLevel::Error);
+    constexpr std::size_t roundsPerSeed = 10;
+    Summary summary;
+    for (std::uint64_t seed = 1; summary.takeovers < atLeast; ++seed) {
+        TakeoverPlay play(seed, daemons);
+        play.play(roundsPerSeed);
+        summary.add(play.world);
+    }
+    summary.print(daemons);
+    BOOST_TEST(summary.violations.empty());
+}
+
+/// How many take-overs are played with each number of daemons.
+std::size_t takeoversWanted()
+{
+    const char* text = std::getenv("GREENGAGE_TAKEOVERS");
+    return text ? std::strtoull(text, nullptr, 10) : 100;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(Takeovers)
+
+BOOST_AUTO_TEST_CASE(keepTheGuaranteesWith3Daemons) { playTakeovers(3, takeoversWanted()); }
+BOOST_AUTO_TEST_CASE(keepTheGuaranteesWith7Daemons) { playTakeovers(7, takeoversWanted()); }
+BOOST_AUTO_TEST_CASE(keepTheGuaranteesWith31Daemons) { playTakeovers(31, takeoversWanted()); }
+BOOST_AUTO_TEST_CASE(keepTheGuaranteesWith97Daemons) { playTakeovers(97, takeoversWanted()); }
+
+BOOST_AUTO_TEST_SUITE_END()
