--- a/modules/coordinator/tests/FakeWorkers.h
+++ b/modules/coordinator/tests/FakeWorkers.h
@@ -6,6 +6,7 @@
 #include <core/time/Deadline.h>
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -45,6 +46,14 @@
 
     /// How long a task runs.
     Milliseconds taskLength { 100 };
+    /// If set, gives the length of each task instead of `taskLength`.
+    std::function<Milliseconds(const TaskName&)> lengthOf;
+    /// If set, may refuse a start order that the worker would carry out otherwise.
+    std::function<std::optional<StartOutcome>(const WorkerId&, const StartAttempt&)> admission;
+    /// If set, called when an attempt has begun, with what it breaks, if anything.
+    std::function<void(const WorkerId&, const StartAttempt&, const char* fault)> onStart;
+    /// If set, called when the end of a task as done was acknowledged as stored.
+    std::function<void(const WorkerId&, const TaskName&)> onStoredDone;
     std::map<WorkerId, Worker> workers;
     /// Tasks that completed, and how often.
     std::map<TaskName, int> done;
@@ -111,6 +120,18 @@
         }
     }
 
+    /// Ends a running task in another way than that it is done.
+    void endTask(const WorkerId& id, const TaskName& task, EndKind kind)
+    {
+        auto& worker = this->workers[id];
+        auto found = worker.running.find(task);
+        if (found == worker.running.end())
+            return;
+        worker.ended.push_back({ worker.nextEnd++, task, found->second.run, kind, {} });
+        worker.endedRuns[task] = found->second.run;
+        worker.running.erase(found);
+    }
+
     bool isRunningAnywhere(const TaskName& task)
     {
         bool isRunning = false;
@@ -221,8 +242,11 @@
             this->workers.extendLease(worker, *order.leaseUntilClockMs);
         std::erase_if(worker.ended, [&](const EndedAttempt& end) {
             bool isStored = end.number <= order.storedEnds;
-            if (isStored && end.kind == EndKind::Done)
+            if (isStored && end.kind == EndKind::Done) {
                 this->workers.storedAsDone.insert(end.task);
+                if (this->workers.onStoredDone)
+                    this->workers.onStoredDone(endpoint.id, end.task);
+            }
             return isStored;
         });
         this->reportLater(
@@ -246,14 +270,26 @@
         if (auto running = worker.running.find(order.task);
             running != worker.running.end() && running->second.run == order.run)
             return StartOutcome::Accepted;
-        if (this->workers.isRunningAnywhere(order.task) || this->workers.storedAsDone.contains(order.task))
+        if (this->workers.admission) {
+            if (auto refusal = this->workers.admission(id, order))
+                return *refusal;
+        }
+        const char* fault = nullptr;
+        if (this->workers.isRunningAnywhere(order.task))
+            fault = "runs twice at once";
+        else if (this->workers.storedAsDone.contains(order.task))
+            fault = "starts after its end as done was stored";
+        if (fault)
             this->workers.startedTwice.push_back(order.task);
         this->workers.starts += 1;
         this->workers.tickets.insert(order.ticket);
         this->workers.startedJobs.insert(order.task.job);
         worker.fence = order.fencingToken;
         this->workers.extendLease(worker, order.validUntilClockMs);
-        worker.running[order.task] = { order.run, now + this->workers.taskLength.count() };
+        Milliseconds length = this->workers.lengthOf ? this->workers.lengthOf(order.task) : this->workers.taskLength;
+        worker.running[order.task] = { order.run, now + length.count() };
+        if (this->workers.onStart)
+            this->workers.onStart(id, order, fault);
         return StartOutcome::Accepted;
     }
 
