--- a/modules/coordinator/tests/FakeWorkers.h
+++ b/modules/coordinator/tests/FakeWorkers.h
@@ -39,6 +39,9 @@
         std::set<std::pair<TaskName, std::uint32_t>> stopped;
         /// The highest run of each task that has ended here.
         std::map<TaskName, std::uint32_t> endedRuns;
+        /// When tasks were done here, and when the lease last expired, on the worker's clock.
+        std::map<TaskName, std::int64_t> doneAtMs;
+        std::int64_t lapsedAtMs = 0;
     };
 
     /// The longest lease that a worker grants.
@@ -104,6 +107,8 @@
     {
         std::int64_t now = clockOf(worker);
         bool hasLapsed = worker.leaseUntilMs < now;
+        if (hasLapsed)
+            worker.lapsedAtMs = worker.leaseUntilMs;
         for (auto entry = worker.running.begin(); entry != worker.running.end();) {
             bool isDone = entry->second.endsAtMs <= std::min(now, worker.leaseUntilMs);
             if (!isDone && !hasLapsed) {
@@ -113,8 +118,10 @@
             this->lapses += isDone ? 0 : 1;
             worker.ended.push_back({ worker.nextEnd++, entry->first, entry->second.run,
                 isDone ? EndKind::Done : EndKind::LeaseExpired, {} });
-            if (isDone)
+            if (isDone) {
                 this->done[entry->first] += 1;
+                worker.doneAtMs[entry->first] = entry->second.endsAtMs;
+            }
             worker.endedRuns[entry->first] = entry->second.run;
             entry = worker.running.erase(entry);
         }
