coordinator: two tests of ended workers that start again under their ids

What callers would see: a long-running task that runs on two workers at once.

Cause: a worker that two listings show without a VM gives up its attempts 1 s after their start orders, also when an order, or another copy of one that was carried out, is still under way. If the worker then starts again under its id and the order arrives before the first renewal with a higher token, it starts the task, which by then runs elsewhere. The end of the lease used to keep the attempt until a report of the new incarnation had told of it.

Not mended here.

--- a/modules/coordinator/tests/EndedWorkerTests.cpp
+++ b/modules/coordinator/tests/EndedWorkerTests.cpp
@@ -71,6 +71,28 @@
         this->second->coordinator.start();
     }
 
+    /// The same for a worker that starts again later. A renewal that waits for an answer gets none.
+    void crashWorker(FakeDaemon& daemon)
+    {
+        this->endWorker(daemon);
+        this->workers.restart(this->lost);
+    }
+
+    /// Starts the worker again under its id, on a VM that is up again.
+    void startWorkerAgain(FakeDaemon& daemon)
+    {
+        this->workers.restart(this->lost);
+        EndedWorkerFixture::listVms(daemon);
+    }
+
+    /// Submits a job of one long-running task.
+    void submitHeldUp()
+    {
+        JobRecord record = this->job("held", 1);
+        record.spec.steps[0].longRunning = true;
+        this->submit(*this->first, record);
+    }
+
     bool areBothRunning()
     {
         std::size_t running = 0;
@@ -152,6 +174,47 @@
     BOOST_TEST(this->workers.lapses == 1U);
 }
 
+/// Guards against a task that runs twice: its only start order is held up and reaches the next incarnation.
+BOOST_AUTO_TEST_CASE(aHeldUpOrderStartsNothingOnAnEndedWorkerThatStartsAgain)
+{
+    this->first->link.lateStarts = 1;
+    this->first->link.lateStartDelay = Milliseconds(3000);
+    this->submitHeldUp();
+    BOOST_REQUIRE(this->runUntil([this] { return this->first->link.heldUpAt.has_value(); }));
+    Instant arrival = BootClock::now() + this->first->link.lateStartDelay;
+    this->lost = *this->first->link.heldUpAt;
+    this->crashWorker(*this->first);
+    this->runFor(std::chrono::duration_cast<Milliseconds>(arrival - Milliseconds(100) - BootClock::now()));
+    this->startWorkerAgain(*this->first);
+    this->runFor(Milliseconds(150));
+    this->first->link.unreachable.clear();
+    this->runFor(Milliseconds(6000));
+    BOOST_TEST(this->workers.startedTwice.empty());
+}
+
+/// Guards against the same with an attempt that reports have listed: another copy of its start order is held up.
+BOOST_AUTO_TEST_CASE(aHeldUpCopyOfAnOrderStartsNothingOnAnEndedWorkerThatStartsAgain)
+{
+    this->first->link.slowStarts = 1;
+    this->first->link.lateStartDelay = Milliseconds(3000);
+    std::size_t startsBefore = this->workers.starts;
+    this->submitHeldUp();
+    BOOST_REQUIRE(this->runUntil([&] { return this->workers.starts == startsBefore + 1; }, Milliseconds(1000)));
+    Instant arrival = BootClock::now() + this->first->link.lateStartDelay - Milliseconds(120);
+    this->runFor(Milliseconds(1000));
+    for (const auto& [id, worker] : this->workers.workers) {
+        if (worker.running.contains({ JobId("held"), 0, 0, 0 }))
+            this->lost = id;
+    }
+    this->crashWorker(*this->first);
+    this->runFor(std::chrono::duration_cast<Milliseconds>(arrival - Milliseconds(100) - BootClock::now()));
+    this->startWorkerAgain(*this->first);
+    this->runFor(Milliseconds(200));
+    this->first->link.unreachable.clear();
+    this->runFor(Milliseconds(6000));
+    BOOST_TEST(this->workers.startedTwice.empty());
+}
+
 BOOST_AUTO_TEST_CASE(onlyTwoListingsAfterTheLastSignShowThatAWorkerHasEnded)
 {
     VmInfo vm;
