coordinator: keep attempts of an ended worker whose orders may be under way

What callers would see: a long-running task that runs on two workers at once.

Cause: a worker that the fleet shows as ended gave up all its attempts 1 s after their start orders. If it starts again under its id, an order that the network has held up, or a second copy of one that was carried out, starts the task there, before the first renewal with a higher token, while it runs elsewhere.

Why it works: only attempts that have certainly ended with the incarnation are given up early: no order was sent, or the only one was carried out, as a report has shown. The others wait for the lease as they did before.

The tests of suite EndedWorkers now crash the worker without an answer to its open renewal, with a bound below the lease, and the lost leader is cut off rather than destroyed: callbacks of the stand-ins outlived it.

--- a/modules/coordinator/fleet/FleetController.h
+++ b/modules/coordinator/fleet/FleetController.h
@@ -106,8 +106,6 @@
     /// not at all.
     static constexpr Milliseconds arrivalLimit { 3000 };
     static constexpr Milliseconds retryPause { 400 };
-    /// A start order and its repetitions have arrived within this time, unless the network holds them up.
-    static constexpr Milliseconds startOrderPeriod { 1000 };
 
     void sizePools(Instant now)
     {
@@ -286,19 +284,7 @@
     void markEndedWorkers()
     {
         for (auto& [id, worker] : this->tables.workers)
-            worker.hasEnded = worker.isSuspect && this->fleet.hasWorkerEnded(id, FleetController::latestSignOf(worker));
-    }
-
-    /// Until when the worker may have done something of which this leader does not know: reported, or carried out a
-    /// start order.
-    static Instant latestSignOf(const WorkerRow& worker)
-    {
-        Instant latest = worker.lastReport;
-        for (const auto& [task, attempt] : worker.attempts) {
-            if (!attempt.isListed && attempt.mayHaveBeenSent())
-                latest = std::max(latest, attempt.orderedAt + startOrderPeriod);
-        }
-        return latest;
+            worker.hasEnded = worker.isSuspect && this->fleet.hasWorkerEnded(id, worker.lastReport);
     }
 
     void advance(const MaintenanceWave& wave, Instant now)
--- a/modules/coordinator/placing/LeaseManager.h
+++ b/modules/coordinator/placing/LeaseManager.h
@@ -317,20 +317,37 @@
         return worker.leaseExpires.hasPassed(now) && (worker.isReached || inheritedLeaseExpires.hasPassed(now));
     }
 
+    static bool hasAttempts(const WorkerRow& worker) { return !worker.attempts.empty() || !worker.orphans.empty(); }
+
+    /// Releases the attempts of a worker that has ended with its VM, apart from those whose start orders may still be
+    /// under way: a worker that starts again under its id would carry them out.
+    void releaseEnded(WorkerRow& worker)
+    {
+        if (std::size_t lost = this->tables.releaseEndedAttempts(worker))
+            writeLog(LogLevel::Warning,
+                LogLine("worker_ended")
+                    .add("worker", worker.info.id.string())
+                    .add("lost", lost)
+                    .add("unsettled", worker.attempts.size() + worker.orphans.size()));
+    }
+
     /// Releases the attempts of unresponsive workers that have ended with their VMs, or whose leases have expired.
     void clearExpiredWorkers(Instant now)
     {
         JobTables& tables = this->tables;
         for (auto entry = tables.workers.begin(); entry != tables.workers.end();) {
             WorkerRow& worker = entry->second;
-            bool isOver = worker.isSuspect && (worker.hasEnded || this->hasLeaseExpired(worker, now));
-            if (isOver && !(worker.attempts.empty() && worker.orphans.empty())) {
+            if (worker.isSuspect && worker.hasEnded)
+                this->releaseEnded(worker);
+            bool isOver = worker.isSuspect && this->hasLeaseExpired(worker, now);
+            if (isOver && LeaseManager::hasAttempts(worker)) {
                 writeLog(LogLevel::Warning,
-                    LogLine(worker.hasEnded ? "worker_ended" : "worker_lease_expired")
+                    LogLine("worker_lease_expired")
                         .add("worker", worker.info.id.string())
                         .add("lost", worker.attempts.size()));
                 tables.clearWorker(worker);
             }
+            isOver = isOver || (worker.isSuspect && worker.hasEnded && !LeaseManager::hasAttempts(worker));
             if (isOver && !worker.isListed && !this->renewals[entry->first].isUnderWay) {
                 this->renewals.erase(entry->first);
                 entry = tables.workers.erase(entry);
--- a/modules/coordinator/tests/EndedWorkerTests.cpp
+++ b/modules/coordinator/tests/EndedWorkerTests.cpp
@@ -9,6 +9,8 @@
 
 /// The longest time that a long-running task may be missing while there is room for it.
 constexpr Milliseconds longestAbsence { 9000 };
+/// The lease has been renewed up to 1 s before the worker ends.
+constexpr Milliseconds beforeTheLeaseExpires = FakeDaemon::leaseDuration - Milliseconds(1000);
 
 /// Workers that end with their VMs while they run a job of long tasks.
 struct EndedWorkerFixture : CoordinatorFixture {
@@ -51,33 +53,28 @@
     /// Cuts the worker off from a daemon. It runs on.
     void cutOff(FakeDaemon& daemon) const { daemon.link.unreachable.insert(this->lost); }
 
-    /// Ends the worker, its tasks and its VM for good.
+    /// Ends the worker, its tasks and its VM. A renewal that waits for an answer gets none.
     void endWorker(FakeDaemon& daemon)
     {
         this->cutOff(daemon);
-        this->workers.workers[this->lost].running.clear();
+        this->workers.restart(this->lost);
         auto& vm = this->vmOfLost(daemon);
         vm.state = VmPhase::Down;
         vm.worker = WorkerId();
     }
 
-    /// Loses the leader without notice, and starts another daemon that knows the worker as ended.
+    /// Cuts the leader off from all others, and starts another daemon, to which the fleet shows the worker as ended.
     void replaceLeader()
     {
-        this->first.reset();
+        this->first->store.isUnresponsive = true;
+        for (const auto& info : FakeDaemon::directory())
+            this->first->link.unreachable.insert(info.id);
         this->second = this->makeDaemon("second", "2");
         EndedWorkerFixture::listVms(*this->second);
         this->endWorker(*this->second);
         this->second->coordinator.start();
     }
 
-    /// The same for a worker that starts again later. A renewal that waits for an answer gets none.
-    void crashWorker(FakeDaemon& daemon)
-    {
-        this->endWorker(daemon);
-        this->workers.restart(this->lost);
-    }
-
     /// Starts the worker again under its id, on a VM that is up again.
     void startWorkerAgain(FakeDaemon& daemon)
     {
@@ -112,7 +109,7 @@
 BOOST_AUTO_TEST_CASE(tasksStartElsewhereBeforeTheLeaseOfAnEndedWorkerExpires)
 {
     this->endWorker(*this->first);
-    BOOST_TEST(this->runUntil([this] { return this->areBothRunning(); }, FakeDaemon::leaseDuration));
+    BOOST_TEST(this->runUntil([this] { return this->areBothRunning(); }, beforeTheLeaseExpires));
     BOOST_TEST(this->workers.startedTwice.empty());
 }
 
@@ -123,7 +120,7 @@
     this->first->vmService.vms.clear();
     Instant endedAt = BootClock::now();
     this->cutOff(*this->first);
-    this->workers.workers[this->lost].running.clear();
+    this->workers.restart(this->lost);
     this->runFor(Milliseconds(3500));
     this->replaceLeader();
     auto left = std::chrono::duration_cast<Milliseconds>(endedAt + longestAbsence - BootClock::now());
@@ -183,7 +180,7 @@
     BOOST_REQUIRE(this->runUntil([this] { return this->first->link.heldUpAt.has_value(); }));
     Instant arrival = BootClock::now() + this->first->link.lateStartDelay;
     this->lost = *this->first->link.heldUpAt;
-    this->crashWorker(*this->first);
+    this->endWorker(*this->first);
     this->runFor(std::chrono::duration_cast<Milliseconds>(arrival - Milliseconds(100) - BootClock::now()));
     this->startWorkerAgain(*this->first);
     this->runFor(Milliseconds(150));
@@ -206,7 +203,7 @@
         if (worker.running.contains({ JobId("held"), 0, 0, 0 }))
             this->lost = id;
     }
-    this->crashWorker(*this->first);
+    this->endWorker(*this->first);
     this->runFor(std::chrono::duration_cast<Milliseconds>(arrival - Milliseconds(100) - BootClock::now()));
     this->startWorkerAgain(*this->first);
     this->runFor(Milliseconds(200));
--- a/modules/coordinator/tests/LeadershipTests.cpp
+++ b/modules/coordinator/tests/LeadershipTests.cpp
@@ -97,4 +97,18 @@
     BOOST_TEST((present->earlierOrdersFor == Milliseconds(0)));
 }
 
+/// Guards against a wait for orders of a leader that has resigned: the watch shows the acquisition before its answer.
+BOOST_AUTO_TEST_CASE(noOrdersOfALeaderThatHasResignedAreWaitedForIfTheWatchIsFaster)
+{
+    auto first = this->start("first", large);
+    BOOST_REQUIRE(this->runUntil([&] { return first->isLeader(); }, Milliseconds(3000)));
+    auto second = this->start("second", large);
+    this->runUntil([] { return false; }, Milliseconds(1000));
+    second->store.loseCommits = 1;
+    second->store.lostAnswerTimeout = Milliseconds(500);
+    first->leadership.resign();
+    BOOST_REQUIRE(this->runUntil([&] { return second->isLeader(); }, Milliseconds(400)));
+    BOOST_TEST(second->leadership.currentTerm().earlierOrdersExpire.hasPassed(BootClock::now() + Milliseconds(100)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/modules/jobs/codec/JobProgressCodec.cpp
+++ b/modules/jobs/codec/JobProgressCodec.cpp
@@ -23,6 +23,8 @@
         Json::Value& row = value["placed"][taskSuffix(task)];
         row.append(placement.worker.string());
         row.append(placement.run);
+        if (placement.isSettled)
+            value["settled"].append(taskSuffix(task));
     }
     for (const auto& [task, runs] : progress.failedRuns) {
         for (auto run : runs)
@@ -53,6 +55,12 @@
                 return std::nullopt;
             progress.placements[*task] = { WorkerId((*entry)[0].asString()), (*entry)[1].asUInt() };
         }
+        for (const auto& suffix : source["settled"]) {
+            auto task = parse(suffix.asString());
+            if (!task || !progress.placements.contains(*task))
+                return std::nullopt;
+            progress.placements[*task].isSettled = true;
+        }
         const Json::Value& failures = source["failedRuns"];
         for (auto entry = failures.begin(); entry != failures.end(); ++entry) {
             auto task = parse(entry.name());
--- a/modules/jobs/model/JobProgress.h
+++ b/modules/jobs/model/JobProgress.h
@@ -13,6 +13,9 @@
 struct TaskPlacement {
     WorkerId worker;
     std::uint32_t run = 0;
+    /// Whether the worker has listed the attempt after the only start order for it, so that no copy of the order is
+    /// under way any more. Stored for long-running tasks only, by the present version only.
+    bool isSettled = false;
 };
 
 /// The progress of a job that is stored, so that a later leader can continue the job.
--- a/modules/jobs/systems/ReportSystem.cpp
+++ b/modules/jobs/systems/ReportSystem.cpp
@@ -136,10 +136,14 @@
         Attempt& attempt = found->second;
         if (attempt.phase != AttemptPhase::Stopping)
             attempt.phase = AttemptPhase::Running;
+        bool wasSettled = attempt.isSettled();
         attempt.isAnswered = true;
         attempt.isListed = true;
         attempt.confirmedAt = now;
         applyFigures(attempt, running);
+        // Stored, so that the next leader need not wait for a lease either if the worker ends.
+        if (attempt.isLongRunning && attempt.isSettled() && !wasSettled)
+            this->markUnsaved(running.task.job);
         return;
     }
     if (auto orphan = worker.orphans.find({ running.task, running.run }); orphan != worker.orphans.end()) {
@@ -220,6 +224,12 @@
     });
 }
 
+void ReportSystem::markUnsaved(const JobId& id)
+{
+    if (auto job = this->tables.jobs.find(id); job != this->tables.jobs.end() && !job->second.hasEnded())
+        this->tables.markUnsaved(job->second);
+}
+
 void ReportSystem::recordEvent(AttemptEventKind kind, const TaskName& task, std::uint32_t run, const WorkerRow& worker)
 {
     this->events.push_back({ kind, task, run, worker.info.id });
--- a/modules/jobs/systems/ReportSystem.h
+++ b/modules/jobs/systems/ReportSystem.h
@@ -39,6 +39,7 @@
     bool adopt(WorkerRow&, const RunningAttempt&, Instant now);
     void addOrphan(WorkerRow&, const RunningAttempt&, Instant now);
     void releaseUnlisted(WorkerRow&, const WorkerReport&, Instant sentAt);
+    void markUnsaved(const JobId&);
     void recordEvent(AttemptEventKind, const TaskName&, std::uint32_t run, const WorkerRow&);
 
     JobTables& tables;
--- a/modules/jobs/tables/Attempt.h
+++ b/modules/jobs/tables/Attempt.h
@@ -72,12 +72,12 @@
     /// it late, until it has accepted an order to stop it.
     bool wasOrderedBeforeRestart = false;
 
+    /// Whether no copy of the start order is under way: the only one was carried out.
+    bool isSettled() const { return this->startOrdersSent == 1 && this->isListed; }
+
     /// Whether the attempt has certainly ended if the worker's incarnation has: no start order was sent, or the only
     /// one was carried out by that incarnation.
-    bool endsWithIncarnation() const
-    {
-        return !this->mayHaveBeenSent() || (this->startOrdersSent == 1 && this->isListed);
-    }
+    bool endsWithIncarnation() const { return !this->mayHaveBeenSent() || this->isSettled(); }
 
     /// Whether only a report of the worker's new incarnation, or an accepted order to stop, can tell what became of the
     /// attempt.
--- a/modules/jobs/tables/JobTables.cpp
+++ b/modules/jobs/tables/JobTables.cpp
@@ -188,7 +188,12 @@
         // A worker that is neither in the directory nor on the stored worker roster holds no lease any more.
         if (!worker || worker->attempts.contains(task))
             continue;
-        this->beginAttempt(*worker, job, task, placement.run, AttemptPhase::Unanswered, now);
+        Attempt& attempt = this->beginAttempt(*worker, job, task, placement.run, AttemptPhase::Unanswered, now);
+        if (placement.isSettled) {
+            attempt.startOrdersSent = 1;
+            attempt.isAnswered = true;
+            attempt.isListed = true;
+        }
     }
 }
 
@@ -312,26 +317,31 @@
     forgetIncarnation(worker);
 }
 
-void JobTables::restartWorker(WorkerRow& worker)
+std::size_t JobTables::releaseEndedAttempts(WorkerRow& worker)
 {
     std::vector<TaskName> ended;
-    for (auto& [task, attempt] : worker.attempts) {
+    for (const auto& [task, attempt] : worker.attempts) {
         if (attempt.endsWithIncarnation())
             ended.push_back(task);
-        else
-            leaveInDoubt(attempt);
     }
     for (const auto& task : ended)
         this->releaseAttempt(worker, task);
-    for (auto entry = worker.orphans.begin(); entry != worker.orphans.end();) {
-        if (entry->second.endsWithIncarnation()) {
-            this->releaseOrphan(worker, entry->second);
-            entry = worker.orphans.erase(entry);
-        } else {
-            leaveInDoubt(entry->second);
-            ++entry;
-        }
-    }
+    std::size_t orphans = std::erase_if(worker.orphans, [&](const auto& entry) {
+        if (!entry.second.endsWithIncarnation())
+            return false;
+        this->releaseOrphan(worker, entry.second);
+        return true;
+    });
+    return ended.size() + orphans;
+}
+
+void JobTables::restartWorker(WorkerRow& worker)
+{
+    this->releaseEndedAttempts(worker);
+    for (auto& [task, attempt] : worker.attempts)
+        leaveInDoubt(attempt);
+    for (auto& [key, orphan] : worker.orphans)
+        leaveInDoubt(orphan);
     forgetIncarnation(worker);
 }
 
@@ -351,7 +361,8 @@
                 const TaskRow& task = steps[step].tasks[index];
                 TaskName name { job.record.id, occurrence, step, index };
                 if (task.phase == TaskPhase::Active)
-                    progress.placements.emplace(name, TaskPlacement { task.worker, task.run });
+                    progress.placements.emplace(
+                        name, TaskPlacement { task.worker, task.run, this->isSettledLongRunning(name, task) });
                 if (task.phase == TaskPhase::Done)
                     progress.done.insert(name);
                 else if (!task.failedRuns.empty())
@@ -362,6 +373,13 @@
     return progress;
 }
 
+bool JobTables::isSettledLongRunning(const TaskName& name, const TaskRow& task) const
+{
+    const WorkerRow* worker = this->findWorker(task.worker);
+    auto attempt = worker ? worker->attempts.find(name) : std::map<TaskName, Attempt>::const_iterator();
+    return worker && attempt != worker->attempts.end() && attempt->second.isLongRunning && attempt->second.isSettled();
+}
+
 StepRow& JobTables::stepRow(JobRow& job, const TaskName& task)
 {
     return job.occurrences[task.occurrence].steps[task.step];
--- a/modules/jobs/tables/JobTables.h
+++ b/modules/jobs/tables/JobTables.h
@@ -66,7 +66,7 @@
     bool isReady(const JobRow&, const OccurrenceRow&, std::uint32_t step, std::int64_t nowUnixMs) const;
 
     /// Restores the placements that an earlier leader stored, for workers that are still known. Each such task counts
-    /// as started until its worker reports otherwise or the worker's lease has expired.
+    /// as started until its worker reports otherwise or has ended, or the worker's lease has expired.
     void restorePlacements(JobRow&, const std::map<TaskName, TaskPlacement>&, Instant now);
 
     /// Adds an attempt of a waiting task on a worker.
@@ -97,6 +97,9 @@
     /// Releases all attempts of a worker that can run none of them any more, and resets its record of reported ends.
     void clearWorker(WorkerRow&);
 
+    /// Releases the attempts that have certainly ended, given that the worker's incarnation has. Returns how many.
+    std::size_t releaseEndedAttempts(WorkerRow&);
+
     /// The worker has started again under its id. Releases the attempts that have ended with its former incarnation and
     /// resets its record of reported ends. The other attempts stay: the new incarnation may have received their start
     /// orders, or may still do so.
@@ -135,6 +138,7 @@
     }
 
 private:
+    bool isSettledLongRunning(const TaskName&, const TaskRow&) const;
     StepRow& stepRow(JobRow&, const TaskName&);
 };
 
--- a/modules/jobs/tables/WorkerRow.h
+++ b/modules/jobs/tables/WorkerRow.h
@@ -50,7 +50,7 @@
     std::uint32_t consecutiveFailures = 0;
     /// A call to the worker got no answer. No attempt starts on it until it reports again.
     bool isSuspect = false;
-    /// The fleet shows no VM on which the worker runs, so that its attempts have ended whatever its lease.
+    /// The fleet shows no VM on which the worker runs, so that what its incarnation ran has ended whatever its lease.
     bool hasEnded = false;
     /// The VM is being drained for maintenance: no attempt starts on it, and long-running tasks move away.
     bool isDrainOrdered = false;
