workers: leave out an unreadable row of a report, not the worker

One row that could not be decoded made the whole report invalid: the worker counted as unresponsive for as long as it listed the row, its lease ran out, and its tasks started elsewhere.

Such rows are now left out, counted and logged as a warning: new ends at once, since they are acknowledged with the others, the rest every 10 s. While a row of what runs is left out, no unlisted attempt counts as lost. An end of an unknown kind ends its attempt and the task starts again; it is not a failure. The number of an unreadable end is acknowledged only if it can be the next one.

--- a/modules/coordinator/placing/LeaseManager.h
+++ b/modules/coordinator/placing/LeaseManager.h
@@ -154,7 +154,7 @@
                 if (!isSameIncarnation || !row->isReached)
                     return;
                 WorkScope scope(WorkKind::Worker, id.string());
-                this->logEvents(this->reports.apply(*row, result.value(), now, BootClock::now()));
+                this->applyReport(*row, result.value(), now, BootClock::now());
                 this->handlers.onChange();
             });
     }
@@ -173,6 +173,7 @@
     static constexpr Milliseconds incompleteRetry { 25 };
     /// A call to a worker is given up after less than this time, and reaches it until then.
     static constexpr Milliseconds longestCall { 500 };
+    static constexpr Milliseconds unreadableLinePeriod { 10'000 };
 
     struct Renewal {
         /// Counts the renewals sent, so that the answer to one that no longer matters is recognised.
@@ -181,6 +182,9 @@
         bool isProbing = false;
         Deadline next;
         int failures = 0;
+        /// Unreadable ends up to this number have been logged.
+        std::uint64_t loggedUnreadableEnd = 0;
+        Deadline nextUnreadableLine;
     };
 
     void renewLeases(Instant now)
@@ -274,10 +278,36 @@
         renewal.failures = 0;
         renewal.next = Deadline();
         worker->isSuspect = false;
-        this->logEvents(this->reports.apply(*worker, report, sentAt, now));
+        this->applyReport(*worker, report, sentAt, now);
         this->handlers.onChange();
     }
 
+    void applyReport(WorkerRow& worker, const WorkerReport& report, Instant sentAt, Instant now)
+    {
+        this->logUnreadableRows(worker, report.unreadable, now);
+        this->logEvents(this->reports.apply(worker, report, sentAt, now));
+    }
+
+    /// Logs rows that are left out. A worker repeats them in each report, so new ends are logged at once, since they
+    /// are acknowledged, and the others from time to time.
+    void logUnreadableRows(const WorkerRow& worker, const UnreadableRows& rows, Instant now)
+    {
+        if (!rows.running && !rows.ended)
+            return;
+        Renewal& renewal = this->renewals[worker.info.id];
+        if (rows.lastEnd == renewal.loggedUnreadableEnd && !renewal.nextUnreadableLine.hasPassed(now))
+            return;
+        renewal.loggedUnreadableEnd = rows.lastEnd;
+        renewal.nextUnreadableLine = Deadline::after(now, unreadableLinePeriod);
+        writeLog(LogLevel::Warning,
+            LogLine("worker_report_rows_unreadable")
+                .add("worker", worker.info.id.string())
+                .add("running", rows.running)
+                .add("ended", rows.ended)
+                .add("last_end", rows.lastEnd)
+                .add("example", rows.example));
+    }
+
     void handleRenewalFailure(WorkerRow& worker, Renewal& renewal, WorkerFailure failure, Instant now)
     {
         if (!renewal.failures)
--- a/modules/jobs/model/WorkerReport.h
+++ b/modules/jobs/model/WorkerReport.h
@@ -30,6 +30,16 @@
     std::string checkpoint;
 };
 
+/// The rows of a report that could not be read.
+struct UnreadableRows {
+    std::uint32_t running = 0;
+    std::uint32_t ended = 0;
+    /// The highest number of an end among them; zero if there is none with a number.
+    std::uint64_t lastEnd = 0;
+    /// The beginning of the first of them.
+    std::string example;
+};
+
 /// A worker's answer to a renewal of its lease.
 struct WorkerReport {
     /// The worker's steady clock at the time of its answer, in milliseconds.
@@ -39,6 +49,10 @@
     std::vector<EndedAttempt> ended;
     /// False if there are more ends than fit into the report.
     bool endsComplete = true;
+    UnreadableRows unreadable;
+
+    /// Whether an attempt that the report does not list has certainly ended, or was never started.
+    bool isComplete() const { return this->endsComplete && !this->unreadable.running; }
 };
 
 } // namespace Greengage
--- a/modules/jobs/systems/AttemptEvent.h
+++ b/modules/jobs/systems/AttemptEvent.h
@@ -15,6 +15,8 @@
     LeaseExpired,
     GangBroken,
     GangIncomplete,
+    /// It ended in a way that this release does not know.
+    UnknownEnd,
     /// The worker does not list the attempt, although it did before or should.
     Lost,
     /// Found on a worker, and started by an earlier leader.
@@ -24,13 +26,14 @@
 };
 
 template <> struct EnumNames<AttemptEventKind> {
-    static constexpr std::array<std::pair<AttemptEventKind, std::string_view>, 9> table { {
+    static constexpr std::array<std::pair<AttemptEventKind, std::string_view>, 10> table { {
         { AttemptEventKind::Done, "done" },
         { AttemptEventKind::Failed, "failed" },
         { AttemptEventKind::Stopped, "stopped" },
         { AttemptEventKind::LeaseExpired, "lease_lapsed" },
         { AttemptEventKind::GangBroken, "gang_broken" },
         { AttemptEventKind::GangIncomplete, "gang_incomplete" },
+        { AttemptEventKind::UnknownEnd, "unknown_end" },
         { AttemptEventKind::Lost, "lost" },
         { AttemptEventKind::Adopted, "adopted" },
         { AttemptEventKind::Unwanted, "unwanted" },
--- a/modules/jobs/systems/ReportSystem.cpp
+++ b/modules/jobs/systems/ReportSystem.cpp
@@ -4,6 +4,7 @@
 #include <jobs/model/WorkerReport.h>
 #include <jobs/tables/JobTables.h>
 
+#include <algorithm>
 #include <set>
 #include <utility>
 
@@ -26,6 +27,8 @@
         return AttemptEventKind::GangBroken;
     case EndKind::GangIncomplete:
         return AttemptEventKind::GangIncomplete;
+    case EndKind::Unknown:
+        return AttemptEventKind::UnknownEnd;
     }
     return AttemptEventKind::Lost;
 }
@@ -57,9 +60,12 @@
         worker.appliedEnds = end.number;
         this->handleEnd(worker, end, now);
     }
+    // An end that cannot be read may be forgotten as well, unless its number cannot be right either.
+    if (report.unreadable.lastEnd <= worker.appliedEnds + report.unreadable.ended)
+        worker.appliedEnds = std::max(worker.appliedEnds, report.unreadable.lastEnd);
     for (const auto& running : report.running)
         this->handleRunning(worker, running, now);
-    if (report.endsComplete)
+    if (report.isComplete())
         this->releaseUnlisted(worker, report, sentAt);
     return std::exchange(this->events, {});
 }
--- a/modules/jobs/tests/ReportTests.cpp
+++ b/modules/jobs/tests/ReportTests.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <limits>
+
 using namespace Greengage;
 
 BOOST_FIXTURE_TEST_SUITE(Reports, JobTablesFixture)
@@ -186,4 +188,62 @@
     BOOST_TEST((job.state == JobState::Completed));
 }
 
+/// Guards against a task that runs twice at once: the row of its attempt could not be read.
+BOOST_AUTO_TEST_CASE(anUnlistedAttemptIsNotLostIfARunningRowIsUnreadable)
+{
+    WorkerRow& worker = this->addWorker("w1");
+    this->addJob("j", { step(1, 1000) });
+    this->placeAndRun();
+    WorkerReport report;
+    report.unreadable.running = 1;
+    this->report(worker, report);
+    BOOST_TEST((this->tables.findTask(task("j", 0, 0))->phase == TaskPhase::Active));
+    this->report(worker, {});
+    BOOST_TEST((this->tables.findTask(task("j", 0, 0))->phase == TaskPhase::Waiting));
+}
+
+/// Guards against a worker that lists an end for ever, because no later one is applied.
+BOOST_AUTO_TEST_CASE(unreadableEndsCountAsApplied)
+{
+    WorkerRow& worker = this->addWorker("w1");
+    this->addJob("j", { step(2, 1000) });
+    this->placeAndRun();
+    WorkerReport report;
+    report.ended.push_back({ 3, task("j", 0, 0), 1, EndKind::Done, {} });
+    report.unreadable.ended = 2;
+    report.unreadable.lastEnd = 5;
+    this->report(worker, report);
+    BOOST_TEST((this->tables.findTask(task("j", 0, 0))->phase == TaskPhase::Done));
+    BOOST_TEST(worker.appliedEnds == 5U);
+}
+
+/// Guards against ends that are never applied, because an unreadable row had a number far ahead of theirs.
+BOOST_AUTO_TEST_CASE(aNumberOfAnUnreadableEndThatCannotBeRightIsIgnored)
+{
+    WorkerRow& worker = this->addWorker("w1");
+    this->addJob("j", { step(1, 1000) });
+    this->placeAndRun();
+    WorkerReport report;
+    report.unreadable.ended = 1;
+    report.unreadable.lastEnd = std::numeric_limits<std::uint64_t>::max();
+    report.running.push_back({ task("j", 0, 0), 1, {}, 100, 0 });
+    this->report(worker, report);
+    BOOST_TEST(worker.appliedEnds == 0U);
+    this->end(task("j", 0, 0), EndKind::Done);
+    BOOST_TEST((this->tables.findTask(task("j", 0, 0))->phase == TaskPhase::Done));
+}
+
+BOOST_AUTO_TEST_CASE(anEndOfAnUnknownKindHasItsTaskStartAgain)
+{
+    WorkerRow& worker = this->addWorker("w1");
+    this->addJob("j", { step(1, 1000) });
+    this->placeAndRun();
+    auto events = this->end(task("j", 0, 0), EndKind::Unknown);
+    BOOST_REQUIRE(events.size() == 1U);
+    BOOST_TEST(nameOf(events.front().kind) == "unknown_end");
+    BOOST_TEST(worker.consecutiveFailures == 0U);
+    BOOST_TEST(this->tables.findTask(task("j", 0, 0))->failedRuns.empty());
+    BOOST_TEST(this->place().size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
