jobs: failures of long-running tasks no longer take the whole pool out of use

Every failed end counted towards the quarantine of its worker, and only an end as done set the count back. Long-running tasks may fail at any time and never end as done, so each of their failures put their worker out of use for 4 s, and other long-running tasks found no worker although there was room. A task also went back to the worker on which it had just failed.

A failure of a long-running task now counts against the worker only if it comes within 5 s of the start and the task did not fail like that the time before. A task that does so again waits 2 s, since the quarantine no longer slows it down, and prefers another worker. Workers on which different tasks fail are quarantined as before.

--- a/modules/jobs/systems/PlacementSystem.cpp
+++ b/modules/jobs/systems/PlacementSystem.cpp
@@ -173,7 +173,7 @@
         row.readyAt = this->tickAt;
     auto& tasks = row.tasks;
     for (std::uint32_t index = 0; index < tasks.size(); ++index) {
-        if (tasks[index].phase != TaskPhase::Waiting)
+        if (tasks[index].phase != TaskPhase::Waiting || !tasks[index].nextStart.hasPassed(this->tickAt))
             continue;
         if (!this->tables.isWithinMaximum(job, spec.demand))
             return;
--- a/modules/jobs/systems/ReportSystem.cpp
+++ b/modules/jobs/systems/ReportSystem.cpp
@@ -85,9 +85,7 @@
         if (isOpen)
             this->handleDone(worker, end);
     } else if (end.kind == EndKind::Failed) {
-        worker.consecutiveFailures += 1;
-        if (worker.consecutiveFailures >= failuresBeforeQuarantine)
-            worker.quarantinedUntil = Deadline::after(now, quarantineDuration);
+        this->countFailure(worker, end, now);
         if (isOpen)
             this->tables.countFailure(job->second, end.task, end.run, worker.info.id);
     }
@@ -99,6 +97,29 @@
     this->tables.releaseAttempt(worker, end.task);
 }
 
+void ReportSystem::countFailure(WorkerRow& worker, const EndedAttempt& end, Instant now)
+{
+    auto attempt = worker.attempts.find(end.task);
+    bool isKnown = attempt != worker.attempts.end() && attempt->second.run == end.run;
+    if (isKnown && attempt->second.isLongRunning && !this->isFailureOfWorker(attempt->second, now))
+        return;
+    worker.consecutiveFailures += 1;
+    if (worker.consecutiveFailures >= failuresBeforeQuarantine)
+        worker.quarantinedUntil = Deadline::after(now, quarantineDuration);
+}
+
+bool ReportSystem::isFailureOfWorker(const Attempt& attempt, Instant now)
+{
+    bool isEarly = now - attempt.orderedAt < provenRunTime;
+    TaskRow* row = this->tables.findTask(attempt.task);
+    if (!row)
+        return isEarly;
+    bool isRepeated = std::exchange(row->hasFailedEarly, isEarly);
+    if (isEarly && isRepeated)
+        row->nextStart = Deadline::after(now, retryPause);
+    return isEarly && !isRepeated;
+}
+
 void ReportSystem::handleDone(WorkerRow& worker, const EndedAttempt& end)
 {
     TaskRow* row = this->tables.findTask(end.task);
--- a/modules/jobs/systems/ReportSystem.h
+++ b/modules/jobs/systems/ReportSystem.h
@@ -8,6 +8,7 @@
 namespace Greengage {
 
 class JobTables;
+struct Attempt;
 struct JobRow;
 struct WorkerReport;
 struct WorkerRow;
@@ -22,6 +23,11 @@
     /// How long a worker is quarantined.
     static constexpr Milliseconds quarantineDuration { 4000 };
 
+    /// A long-running attempt that has run for this long has shown that its worker can run tasks.
+    static constexpr Milliseconds provenRunTime { 5000 };
+    /// How long a long-running task that has failed early several times in a row waits for its next attempt.
+    static constexpr Milliseconds retryPause { 2000 };
+
     explicit ReportSystem(JobTables& tables)
         : tables(tables)
     {
@@ -32,6 +38,10 @@
 
 private:
     void handleEnd(WorkerRow&, const EndedAttempt&, Instant now);
+    void countFailure(WorkerRow&, const EndedAttempt&, Instant now);
+    /// Records the failure of a long-running task, which may fail at any time and never ends as done. Returns whether
+    /// it tells something about the worker: it came early, and the task had not failed like this before.
+    bool isFailureOfWorker(const Attempt&, Instant now);
     void handleDone(WorkerRow&, const EndedAttempt&);
     /// Has the current attempt of the task stopped if `isUnneeded(attempt)`.
     template <typename Condition> void stopAttempt(const TaskName&, Condition isUnneeded);
--- a/modules/jobs/tables/JobRow.h
+++ b/modules/jobs/tables/JobRow.h
@@ -29,6 +29,10 @@
     std::string checkpoint;
     /// The worker of the latest failed attempt. It is the last choice for the next one.
     WorkerId failedOn;
+    /// Whether the latest failed attempt of this long-running task failed soon after its start.
+    bool hasFailedEarly = false;
+    /// No attempt starts before.
+    Deadline nextStart;
 };
 
 struct StepRow {
--- a/modules/jobs/tables/JobTables.cpp
+++ b/modules/jobs/tables/JobTables.cpp
@@ -291,8 +291,12 @@
 void JobTables::countFailure(JobRow& job, const TaskName& task, std::uint32_t run, const WorkerId& worker)
 {
     TaskRow* row = this->findTask(task);
-    if (!row || row->phase == TaskPhase::Done || job.record.spec.steps[task.step].longRunning)
+    if (!row || row->phase == TaskPhase::Done)
+        return;
+    if (job.record.spec.steps[task.step].longRunning) {
+        row->failedOn = worker;
         return;
+    }
     if (!row->failedRuns.insert(run).second)
         return;
     row->failedOn = worker;
--- a/modules/jobs/tables/JobTables.h
+++ b/modules/jobs/tables/JobTables.h
@@ -88,7 +88,7 @@
     void finishTask(JobRow&, const TaskName&);
 
     /// Counts a failed attempt, but only once if it is reported again. The job fails when the task has failed as often
-    /// as the queue allows.
+    /// as the queue allows, unless the task is long-running.
     void countFailure(JobRow&, const TaskName&, std::uint32_t run, const WorkerId&);
 
     /// Marks the stored progress of the job as out of date.
