tests: ends of a restarted worker that are acknowledged before anybody has read them

Callers see a task done twice. LeaseManager::renew and probe send the number of stored ends of the crashed incarnation until a report shows the restart. The new incarnation counts anew, so it forgets ends that no leader has read; the leader counts their attempts as lost and starts the tasks again.

--- a/modules/coordinator/tests/WorkerRestartTests.cpp
+++ b/modules/coordinator/tests/WorkerRestartTests.cpp
@@ -76,6 +76,19 @@
     BOOST_TEST(this->workers.starts == 5U);
 }
 
+/// Guards against tasks that start again after they are done: renewals that count ends of the crashed incarnation make
+/// the new one forget ends that nobody has read.
+BOOST_AUTO_TEST_CASE(endsOfTheNewIncarnationAreNotForgottenUnread)
+{
+    this->submit(*this->first, this->job("warmer", 8));
+    BOOST_REQUIRE(this->runUntil([this] { return this->isCompleted("warmer"); }));
+    this->workers.taskLength = Milliseconds(20);
+    this->submitWithLostOrders();
+    this->restartWorkers();
+    BOOST_TEST(this->runUntil([this] { return this->isCompleted("j"); }));
+    BOOST_TEST(this->workers.startedTwice.empty());
+}
+
 /// Guards against the same when the restart is seen in a report, before the entry is written.
 BOOST_AUTO_TEST_CASE(tasksAreNotStartedElsewhereIfAReportShowsTheRestart)
 {
