--- a/modules/coordinator/tests/FakeWorkers.h
+++ b/modules/coordinator/tests/FakeWorkers.h
@@ -42,6 +42,8 @@
         /// When tasks were done here, and when the lease last expired, on the worker's clock.
         std::map<TaskName, std::int64_t> doneAtMs;
         std::int64_t lapsedAtMs = 0;
+        /// The highest number of an end that was reported.
+        std::uint64_t reportedEnds = 0;
     };
 
     /// The longest lease that a worker grants.
@@ -66,6 +68,8 @@
     std::vector<TaskName> startedTwice;
     /// Tasks whose completion the coordinator has acknowledged as stored.
     std::set<TaskName> storedAsDone;
+    /// Those of them whose end was acknowledged before it was reported.
+    std::set<TaskName> acknowledgedUnread;
     std::size_t starts = 0;
     std::set<JobId> startedJobs;
     /// The tickets that starts carried.
@@ -251,6 +255,8 @@
             bool isStored = end.number <= order.storedEnds;
             if (isStored && end.kind == EndKind::Done) {
                 this->workers.storedAsDone.insert(end.task);
+                if (end.number > worker.reportedEnds)
+                    this->workers.acknowledgedUnread.insert(end.task);
                 if (this->workers.onStoredDone)
                     this->workers.onStoredDone(endpoint.id, end.task);
             }
@@ -285,7 +291,9 @@
         if (this->workers.isRunningAnywhere(order.task))
             fault = "runs twice at once";
         else if (this->workers.storedAsDone.contains(order.task))
-            fault = "starts after its end as done was stored";
+            fault = this->workers.acknowledgedUnread.contains(order.task)
+                ? "starts after its end as done was acknowledged unread"
+                : "starts after its end as done was stored";
         if (fault)
             this->workers.startedTwice.push_back(order.task);
         this->workers.starts += 1;
@@ -323,6 +331,7 @@
         for (const auto& [task, run] : worker.running)
             report.running.push_back({ task, run.run, {}, 100, 0 });
         report.ended = worker.ended;
+        worker.reportedEnds = worker.nextEnd - 1;
         after(this->base, Milliseconds(2), [callback = std::move(callback), report] { callback(report); });
     }
 
