coordinator: acknowledge no ends to a worker that may have started again

Cause: renewals and probes carried the number of the last stored end of the incarnation that the leader knew. One that reached the next incarnation first made it forget ends of its own under the same numbers, which nobody had read.

Why it works: probes, which are sent around crashes, acknowledge nothing, and neither does a renewal after a call that got no answer, until a report has shown which incarnation answers. Not covered: a crash and a start within the 0.3 s for which an answered renewal waits for its ends to be stored.

--- a/modules/coordinator/placing/LeaseManager.h
+++ b/modules/coordinator/placing/LeaseManager.h
@@ -136,7 +136,6 @@
         renewal.isProbing = true;
         RenewLease order;
         order.fencingToken = this->tokenFor(worker);
-        order.storedEnds = worker.storedEnds;
         this->link.renew(
             this->endpointOf(worker), order, [this, alive = this->alive, id = worker.info.id, now](auto result) {
                 if (!*alive)
@@ -204,7 +203,8 @@
     {
         RenewLease order;
         order.fencingToken = this->tokenFor(worker);
-        order.storedEnds = worker.storedEnds;
+        // A worker that did not answer may have started again, with ends of its own under the same numbers.
+        order.storedEnds = worker.isSuspect ? 0 : worker.storedEnds;
         // The lease of an unresponsive worker is not extended, so that its attempts are released in bounded time.
         if (worker.isReached && !worker.isSuspect) {
             order.leaseUntilClockMs = this->clockOf(worker, now) + this->leaseDuration.count();
