coordinator: count no lease for a worker that has ended with its VM

Cause: attempts of an ended worker whose start orders are not known to have been carried out waited for its lease. If the worker had once started again that is the longest one, 10 s, and the next leader counts it anew.

Why it works: what has ended holds no lease.

Test: theNextLeaderWaitsForNoLeaseOfAnEndedWorkerThatHadStartedAgain.

--- a/modules/coordinator/placing/LeaseManager.h
+++ b/modules/coordinator/placing/LeaseManager.h
@@ -347,6 +347,15 @@
         return worker.leaseExpires.hasPassed(now) && (worker.isReached || inheritedLeaseExpires.hasPassed(now));
     }
 
+    /// Whether the start orders of all attempts on the worker are as old as a lease, so that none is taken for being
+    /// under way any more. A worker that has ended holds no lease, however long the one that it was granted.
+    bool haveOrdersArrived(const WorkerRow& worker, Instant now) const
+    {
+        Instant latest = now - LeaseManager::longestLease(this->leaseDuration);
+        return std::all_of(worker.attempts.begin(), worker.attempts.end(),
+            [latest](const auto& entry) { return entry.second.orderedAt <= latest; });
+    }
+
     static bool hasAttempts(const WorkerRow& worker) { return !worker.attempts.empty() || !worker.orphans.empty(); }
 
     /// Releases the attempts of a worker that has ended with its VM, apart from those whose start orders may still be
@@ -369,7 +378,8 @@
             WorkerRow& worker = entry->second;
             if (worker.isSuspect && worker.hasEnded)
                 this->releaseEnded(worker);
-            bool isOver = worker.isSuspect && this->hasLeaseExpired(worker, now);
+            bool isOver = worker.isSuspect
+                && (worker.hasEnded ? this->haveOrdersArrived(worker, now) : this->hasLeaseExpired(worker, now));
             if (isOver && LeaseManager::hasAttempts(worker)) {
                 writeLog(LogLevel::Warning,
                     LogLine("worker_lease_expired")
@@ -377,7 +387,6 @@
                         .add("lost", worker.attempts.size()));
                 tables.clearWorker(worker);
             }
-            isOver = isOver || (worker.isSuspect && worker.hasEnded && !LeaseManager::hasAttempts(worker));
             if (isOver && !worker.isListed && !this->renewals[entry->first].isUnderWay) {
                 this->renewals.erase(entry->first);
                 entry = tables.workers.erase(entry);
--- a/modules/coordinator/tests/EndedWorkerTests.cpp
+++ b/modules/coordinator/tests/EndedWorkerTests.cpp
@@ -9,6 +9,8 @@
 
 /// The longest time that a long-running task may be missing while there is room for it.
 constexpr Milliseconds longestAbsence { 9000 };
+/// The same, counted from the end of the last disruption.
+constexpr Milliseconds afterTheLastDisruption { 7000 };
 /// The lease has been renewed up to 1 s before the worker ends.
 constexpr Milliseconds beforeTheLeaseExpires = FakeDaemon::leaseDuration - Milliseconds(1000);
 
@@ -140,6 +142,26 @@
     BOOST_TEST(this->workers.startedTwice.empty());
 }
 
+/// Guards against a wait for the longest lease, after a loss of the leader, for an order that an ended worker never
+/// got.
+BOOST_AUTO_TEST_CASE(theNextLeaderWaitsForNoLeaseOfAnEndedWorkerThatHadStartedAgain)
+{
+    for (const auto& info : FakeDaemon::directory())
+        this->workers.restart(info.id);
+    BOOST_REQUIRE(this->runUntil([this] { return this->areBothRunning(); }, Milliseconds(3000)));
+    this->runFor(Milliseconds(1500));
+    this->first->link.lateStarts = 1;
+    this->first->link.lateStartDelay = Milliseconds(60'000);
+    this->submitHeldUp();
+    BOOST_REQUIRE(this->runUntil([this] { return this->first->link.heldUpAt.has_value(); }));
+    this->lost = *this->first->link.heldUpAt;
+    this->endWorker(*this->first);
+    this->replaceLeader();
+    BOOST_TEST(
+        this->runUntil([this] { return this->workers.startedJobs.contains(JobId("held")); }, afterTheLastDisruption));
+    BOOST_TEST(this->workers.startedTwice.empty());
+}
+
 /// Guards against a task that runs twice: a worker that is cut off runs on until its lease expires.
 BOOST_AUTO_TEST_CASE(aWorkerThatIsCutOffKeepsItsTasksWhileTheFleetShowsIt)
 {
