jobs: count the waiting tasks of a burst with their processor time only

What callers saw: not known. The pool of a burst ordered VMs for the processor time that its tasks leave unused on each VM, which other pools may need.

Cause: since pools are sized by memory too, waiting tasks count as unplaceable whatever they lack. In a burst all of them lack processor time, which they get as tasks end.

Change: tasks of ordinary steps are unplaceable only if workers have the processor time for one of them. Long-running steps count as before, since nothing that occupies the processors need end.

Evidence: `waitingTasksOfABurstCountWithTheirProcessorTimeOnly` failed before (7 VMs ordered in place of 5). `aPoolGrowsForLongRunningTasksIfItsFreeProcessor- TimeIsSpreadOverItsWorkers` guards the case that stays.

Tests run: jobs_tests whole, lint of the changed files.

--- a/modules/jobs/systems/PoolLoad.cpp
+++ b/modules/jobs/systems/PoolLoad.cpp
@@ -17,17 +17,22 @@
     return { amount.cpuMillis * count, amount.memoryMegabytes * count, amount.accelerators * count };
 }
 
-/// Whether no worker has free capacity for a task of the step, but one without tasks would have. Another worker may not
-/// have the label that a step requires, so that such steps do not count.
+/// Whether no worker has free capacity for a task of the step, but one without tasks would have. Where processor time
+/// is what is missing, only long-running steps count, since others get it as tasks end. Another worker may not have the
+/// label that a step requires, so that such steps do not count.
 bool needsAnotherWorker(const StepSpec& step, const Workers& workers)
 {
+    ResourceAmount demand = step.occupiedPerTask();
+    bool hasProcessorTime = false;
     bool fitsInEmptyWorker = false;
     for (const auto* worker : workers) {
         if (PlacementSystem::canHost(*worker, step))
             return false;
-        fitsInEmptyWorker = fitsInEmptyWorker || step.occupiedPerTask().fitsIn(worker->info.capacity);
+        std::int64_t freeCpu = worker->info.capacity.cpuMillis - worker->occupied.cpuMillis;
+        hasProcessorTime = hasProcessorTime || demand.cpuMillis <= freeCpu;
+        fitsInEmptyWorker = fitsInEmptyWorker || demand.fitsIn(worker->info.capacity);
     }
-    return fitsInEmptyWorker && step.requiredLabel.empty();
+    return (step.longRunning || hasProcessorTime) && fitsInEmptyWorker && step.requiredLabel.empty();
 }
 
 void addWaiting(
--- a/modules/jobs/tests/SizingTests.cpp
+++ b/modules/jobs/tests/SizingTests.cpp
@@ -229,6 +229,32 @@
     BOOST_TEST(this->waitingTasks() == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(aPoolGrowsForLongRunningTasksIfItsFreeProcessorTimeIsSpreadOverItsWorkers)
+{
+    for (int index = 0; index < 10; ++index)
+        this->addVm("n" + std::to_string(index), "north");
+    for (int index = 0; index < 16; ++index)
+        this->addVm("p" + std::to_string(index), "spare");
+    StepSpec large = step(20, 5000);
+    large.longRunning = true;
+    this->addJob("catalogue", { large });
+    this->settle();
+    BOOST_TEST(this->waitingTasks() == 0U);
+}
+
+/// Guards against a burst that takes more VMs than its processor time, because it leaves some of each VM unused.
+BOOST_AUTO_TEST_CASE(waitingTasksOfABurstCountWithTheirProcessorTimeOnly)
+{
+    for (int index = 0; index < 10; ++index)
+        this->addVm("n" + std::to_string(index), "north");
+    for (int index = 0; index < 16; ++index)
+        this->addVm("p" + std::to_string(index), "spare");
+    this->addJob("burst", { step(20, 5000) });
+    this->placeAndRun();
+    // 100 cores and the reserve of two VMs of eight cores require fifteen VMs.
+    BOOST_TEST(movesTo(this->planMoves(), "north") == 5U);
+}
+
 /// Guards against a pool that grows without end for a task that is larger than any VM.
 BOOST_AUTO_TEST_CASE(aPoolDoesNotGrowForATaskThatNoVmCanTake)
 {
