--- a/modules/coordinator/tests/FakeWorkers.h
+++ b/modules/coordinator/tests/FakeWorkers.h
@@ -5,6 +5,7 @@
 #include <coordinator/workers/WorkerLink.h>
 #include <core/time/Deadline.h>
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -178,6 +179,12 @@
     /// How long the answer to such an order is waited for.
     Milliseconds lostStartTimeout { 2 };
     int loseRenewals = 0;
+    /// How many of the next stop orders are refused, and how many are carried out without an answer.
+    int refuseStops = 0;
+    int loseStopAnswers = 0;
+    /// A report lists at most this many ends, and says so.
+    std::size_t maxEndsPerReport = 500;
+    std::size_t incompleteReports = 0;
     /// How many of the next start orders arrive and are answered after `lateStartDelay`.
     int slowStarts = 0;
     /// Sending a start order of this job ends with an unforeseen error.
@@ -215,7 +222,8 @@
 
     void stop(const WorkerEndpoint& endpoint, const StopAttempt& order, OrderCallback callback)
     {
-        bool isAccepted = !this->unreachable.contains(endpoint.id);
+        bool isAccepted = !this->unreachable.contains(endpoint.id) && this->refuseStops == 0;
+        this->refuseStops -= this->refuseStops > 0 ? 1 : 0;
         if (isAccepted) {
             auto& worker = this->workers.workers[endpoint.id];
             this->workers.endDueTasks(worker);
@@ -225,6 +233,8 @@
                 worker.ended.push_back({ worker.nextEnd++, order.task, order.run, EndKind::Stopped, {} });
                 worker.running.erase(found);
             }
+            isAccepted = this->loseStopAnswers == 0;
+            this->loseStopAnswers -= isAccepted ? 0 : 1;
         }
         after(this->base, Milliseconds(2), [callback = std::move(callback), isAccepted] { callback(isAccepted); });
     }
@@ -331,7 +341,10 @@
         for (const auto& [task, run] : worker.running)
             report.running.push_back({ task, run.run, {}, 100, 0 });
         report.ended = worker.ended;
-        worker.reportedEnds = worker.nextEnd - 1;
+        report.endsComplete = report.ended.size() < this->maxEndsPerReport;
+        this->incompleteReports += report.endsComplete ? 0 : 1;
+        report.ended.resize(std::min(report.ended.size(), this->maxEndsPerReport));
+        worker.reportedEnds = report.endsComplete ? worker.nextEnd - 1 : report.ended.back().number;
         after(this->base, Milliseconds(2), [callback = std::move(callback), report] { callback(report); });
     }
 
--- a/modules/jobs/tests/ThrottleTests.cpp
+++ b/modules/jobs/tests/ThrottleTests.cpp
@@ -87,4 +87,20 @@
     BOOST_TEST(worker.attempts.at(task("best-effort", 0, 0)).wantedSpeedPercent == 25);
 }
 
+/// Guards against a best-effort task that stays at no speed, because the leader that slowed it down is gone.
+BOOST_AUTO_TEST_CASE(anAdoptedTaskAtNoSpeedSpeedsUpAgain)
+{
+    WorkerRow& worker = this->tables.workers.at(WorkerId("w1"));
+    auto report = this->fullReport(worker);
+    for (auto& running : report.running)
+        running.speedPercent = running.task.job == JobId("best-effort") ? 0 : ThrottleSystem::fullSpeedPercent;
+    this->tables.clearWorker(worker);
+    this->report(worker, report);
+    BOOST_REQUIRE(worker.attempts.at(task("best-effort", 0, 0)).speedPercent == 0);
+    BOOST_TEST(this->speedPercentAfter(50) == 25);
+    BOOST_TEST(this->speedPercentAfter(50) == 50);
+    BOOST_TEST(this->speedPercentAfter(50) == 75);
+    BOOST_TEST(this->speedPercentAfter(50) == 100);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
