coordinator: give up tasks that had just started on a worker that ended

Cause: the task had started 38 ms before its worker was lost. No report had listed it, so its start order counted as possibly under way, and each leader of the chain waited 4.3 s for it anew.

Why it works: an accepted start order that was sent once has been carried out, so no copy of it is under way. That suffices when the worker has ended with its VM, whichever incarnation accepted the order. It does not when the worker has started again, where a report has to list the attempt, as before.

Tests: EndedWorkers (with aTaskThatHasJustStartedOnAnEndedWorkerIsWaitedForByNoLeader, which was not run on the code before), WorkerRestarts, WorkerClocks, LostAnswers, Coordinating, Stops, jobs_tests.

--- a/modules/coordinator/placing/OrderSender.h
+++ b/modules/coordinator/placing/OrderSender.h
@@ -209,7 +209,13 @@
         if (attempt.wasOrderedBeforeRestart && outcome != StartOutcome::Fenced)
             return;
         if (outcome == StartOutcome::Accepted) {
+            bool wasSettled = attempt.isSettled();
             attempt.isAnswered = true;
+            attempt.isAccepted = true;
+            // Stored, so that the next leader need not wait for the order if the worker ends.
+            if (auto job = tables.jobs.find(order.task.job);
+                attempt.isLongRunning && attempt.isSettled() && !wasSettled && job != tables.jobs.end())
+                tables.markUnsaved(job->second);
             attempt.confirmedAt = now;
             if (attempt.phase != AttemptPhase::Stopping)
                 attempt.phase = AttemptPhase::Running;
--- a/modules/coordinator/tests/EndedWorkerTests.cpp
+++ b/modules/coordinator/tests/EndedWorkerTests.cpp
@@ -162,6 +162,24 @@
     BOOST_TEST(this->workers.startedTwice.empty());
 }
 
+/// Guards against a wait, begun anew by each leader, for a task that has started just before its worker ends.
+BOOST_AUTO_TEST_CASE(aTaskThatHasJustStartedOnAnEndedWorkerIsWaitedForByNoLeader)
+{
+    this->submitHeldUp();
+    BOOST_REQUIRE(this->runUntil([this] { return this->workers.startedJobs.contains(JobId("held")); }));
+    this->runFor(Milliseconds(60));
+    for (const auto& [id, worker] : this->workers.workers) {
+        if (worker.running.contains({ JobId("held"), 0, 0, 0 }))
+            this->lost = id;
+    }
+    std::size_t startsBefore = this->workers.starts;
+    this->endWorker(*this->first);
+    this->replaceLeader();
+    constexpr Milliseconds withoutAnyLease { 4000 };
+    BOOST_TEST(this->runUntil([&] { return this->workers.starts == startsBefore + 2; }, withoutAnyLease));
+    BOOST_TEST(this->workers.startedTwice.empty());
+}
+
 /// Guards against a task that runs twice: a worker that is cut off runs on until its lease expires.
 BOOST_AUTO_TEST_CASE(aWorkerThatIsCutOffKeepsItsTasksWhileTheFleetShowsIt)
 {
--- a/modules/jobs/model/JobProgress.h
+++ b/modules/jobs/model/JobProgress.h
@@ -13,8 +13,8 @@
 struct TaskPlacement {
     WorkerId worker;
     std::uint32_t run = 0;
-    /// Whether the worker has listed the attempt after the only start order for it, so that no copy of the order is
-    /// under way any more. Stored for long-running tasks only, by the present version only.
+    /// Whether the worker has carried out the only start order of the attempt, so that no copy of it is under way any
+    /// more. Stored for long-running tasks only, and not by earlier versions.
     bool isSettled = false;
 };
 
--- a/modules/jobs/tables/Attempt.h
+++ b/modules/jobs/tables/Attempt.h
@@ -72,12 +72,21 @@
     /// it late, until it has accepted an order to stop it.
     bool wasOrderedBeforeRestart = false;
 
+    /// Whether an incarnation of the worker, not certainly the current one, has accepted the start order.
+    bool isAccepted = false;
+
     /// Whether no copy of the start order is under way: the only one was carried out.
-    bool isSettled() const { return this->startOrdersSent == 1 && this->isListed; }
+    bool isSettled() const { return this->startOrdersSent == 1 && (this->isAccepted || this->isListed); }
 
     /// Whether the attempt has certainly ended if the worker's incarnation has: no start order was sent, or the only
     /// one was carried out by that incarnation.
-    bool endsWithIncarnation() const { return !this->mayHaveBeenSent() || this->isSettled(); }
+    bool endsWithIncarnation() const
+    {
+        return !this->mayHaveBeenSent() || (this->startOrdersSent == 1 && this->isListed);
+    }
+
+    /// The same if the worker has ended with its VM, whichever incarnation carried the order out.
+    bool endsWithVm() const { return !this->mayHaveBeenSent() || this->isSettled(); }
 
     /// Whether only a report of the worker's new incarnation, or an accepted order to stop, can tell what became of the
     /// attempt.
--- a/modules/jobs/tables/JobTables.cpp
+++ b/modules/jobs/tables/JobTables.cpp
@@ -192,7 +192,7 @@
         if (placement.isSettled) {
             attempt.startOrdersSent = 1;
             attempt.isAnswered = true;
-            attempt.isListed = true;
+            attempt.isAccepted = true;
         }
     }
 }
@@ -322,16 +322,21 @@
 }
 
 std::size_t JobTables::releaseEndedAttempts(WorkerRow& worker)
+{
+    return this->releaseAttemptsIf(worker, [](const Attempt& attempt) { return attempt.endsWithVm(); });
+}
+
+template <typename Condition> std::size_t JobTables::releaseAttemptsIf(WorkerRow& worker, Condition hasEnded)
 {
     std::vector<TaskName> ended;
     for (const auto& [task, attempt] : worker.attempts) {
-        if (attempt.endsWithIncarnation())
+        if (hasEnded(attempt))
             ended.push_back(task);
     }
     for (const auto& task : ended)
         this->releaseAttempt(worker, task);
     std::size_t orphans = std::erase_if(worker.orphans, [&](const auto& entry) {
-        if (!entry.second.endsWithIncarnation())
+        if (!hasEnded(entry.second))
             return false;
         this->releaseOrphan(worker, entry.second);
         return true;
@@ -341,7 +346,7 @@
 
 void JobTables::restartWorker(WorkerRow& worker)
 {
-    this->releaseEndedAttempts(worker);
+    this->releaseAttemptsIf(worker, [](const Attempt& attempt) { return attempt.endsWithIncarnation(); });
     for (auto& [task, attempt] : worker.attempts)
         leaveInDoubt(attempt);
     for (auto& [key, orphan] : worker.orphans)
--- a/modules/jobs/tables/JobTables.h
+++ b/modules/jobs/tables/JobTables.h
@@ -97,7 +97,7 @@
     /// Releases all attempts of a worker that can run none of them any more, and resets its record of reported ends.
     void clearWorker(WorkerRow&);
 
-    /// Releases the attempts that have certainly ended, given that the worker's incarnation has. Returns how many.
+    /// Releases the attempts that have certainly ended, given that the worker has ended with its VM. Returns how many.
     std::size_t releaseEndedAttempts(WorkerRow&);
 
     /// The worker has started again under its id. Releases the attempts that have ended with its former incarnation and
@@ -138,6 +138,8 @@
     }
 
 private:
+    /// Releases the attempts and orphaned attempts for which `hasEnded(attempt)` holds. Returns how many.
+    template <typename Condition> std::size_t releaseAttemptsIf(WorkerRow&, Condition hasEnded);
     bool isSettledLongRunning(const TaskName&, const TaskRow&) const;
     StepRow& stepRow(JobRow&, const TaskName&);
 };
