jobs: log what the next leader inherits of long-running tasks, and how old their orders are

An absence said which worker a task waits for, and not for how long it has been waited for or what for: whether the start order of the attempt is taken for being under way, and since when.

--- a/modules/coordinator/placing/AbsenceLogger.cpp
+++ b/modules/coordinator/placing/AbsenceLogger.cpp
@@ -8,6 +8,12 @@
 
 namespace Greengage {
 
+namespace {
+
+std::int64_t ageMs(Instant since, Instant now) { return std::chrono::duration_cast<Milliseconds>(now - since).count(); }
+
+} // namespace
+
 void AbsenceLogger::tick(Instant now)
 {
     if (!this->nextCheck.hasPassed(now))
@@ -23,8 +29,9 @@
             LogLine("long_running_absent")
                 .add("task", absence.task.text())
                 .add("reason", nameOf(absence.reason))
-                .add("for_ms", std::chrono::duration_cast<Milliseconds>(now - absence.since).count())
-                .add("worker", absence.worker.string()));
+                .add("for_ms", ageMs(absence.since, now))
+                .add("worker", absence.worker.string())
+                .add("order_age_ms", absence.orderedAt ? ageMs(*absence.orderedAt, now) : -1));
     }
     writeLog(LogLevel::Warning, LogLine("long_running_absences").add("tasks", absences.size()).add("named", lines));
 }
--- a/modules/coordinator/placing/JobLoader.cpp
+++ b/modules/coordinator/placing/JobLoader.cpp
@@ -104,8 +104,31 @@
     for (const auto& [id, placements] : this->inherited) {
         if (auto job = this->tables.jobs.find(id); job != this->tables.jobs.end())
             this->tables.restorePlacements(job->second, placements, now);
+        this->logInherited(placements, now);
     }
     this->inherited.clear();
 }
 
+void JobLoader::logInherited(const std::map<TaskName, TaskPlacement>& placements, Instant now) const
+{
+    for (const auto& [task, placement] : placements) {
+        const StepSpec* step = this->tables.findStep(task);
+        const WorkerRow* worker = this->tables.findWorker(placement.worker);
+        if (!step || !step->longRunning || !worker)
+            continue;
+        auto attempt = worker->attempts.find(task);
+        if (attempt == worker->attempts.end())
+            continue;
+        writeLog(LogLevel::Info,
+            LogLine("placement_inherited")
+                .add("task", task.text())
+                .add("run", placement.run)
+                .add("worker", placement.worker.string())
+                .add("settled", placement.isSettled)
+                .add("listed", placement.wasListed)
+                .add(
+                    "order_age_ms", std::chrono::duration_cast<Milliseconds>(now - attempt->second.orderedAt).count()));
+    }
+}
+
 } // namespace Greengage
--- a/modules/coordinator/placing/JobLoader.h
+++ b/modules/coordinator/placing/JobLoader.h
@@ -38,6 +38,8 @@
 private:
     void addJob(const JobId&, const KvItem&, const JobProgress&, std::int64_t progressRevision);
     void applyCancellation(const JobId&);
+    /// Logs the long-running tasks among them, with what their starts rest on.
+    void logInherited(const std::map<TaskName, TaskPlacement>&, Instant now) const;
 
     JobTables& tables;
     std::function<void(const JobRow&)> onJobAdded;
--- a/modules/jobs/systems/AbsenceMonitor.cpp
+++ b/modules/jobs/systems/AbsenceMonitor.cpp
@@ -54,12 +54,13 @@
         if (now - since <= tolerance)
             continue;
         if (attempt) {
-            this->absences.push_back({ name, reasonOf(*worker, *attempt), since, task.worker });
+            this->absences.push_back({ name, reasonOf(*worker, *attempt), since, task.worker,
+                attempt->mayHaveBeenSent() ? std::optional(attempt->orderedAt) : std::nullopt });
             continue;
         }
         if (!obstacle)
             obstacle = this->findObstacle(job, name, row, now);
-        this->absences.push_back({ name, obstacle->reason, since, obstacle->worker });
+        this->absences.push_back({ name, obstacle->reason, since, obstacle->worker, std::nullopt });
     }
 }
 
--- a/modules/jobs/systems/TaskAbsence.h
+++ b/modules/jobs/systems/TaskAbsence.h
@@ -5,6 +5,8 @@
 #include <jobs/model/TaskName.h>
 #include <jobs/systems/AbsenceReason.h>
 
+#include <optional>
+
 namespace Greengage {
 
 /// A long-running task that is not at work.
@@ -14,6 +16,8 @@
     Instant since;
     /// The worker that the reason is about; empty if it is about none.
     WorkerId worker;
+    /// When its start was ordered, or the leader began to wait for that order; nothing if no attempt is pending.
+    std::optional<Instant> orderedAt;
 };
 
 } // namespace Greengage
