leadership: a leader that hands over tells the next one how old its open orders are

Cause: an attempt whose start order got no answer, or was sent more than once, is given up on an ended worker once its order is as old as a lease. Only the leader that had sent the order knew its age; each successor counted from the time at which it had loaded the jobs. The same held for the leases of workers that do not answer: each leader counted on one that had been renewed until its own win. Planned stops of leaders, more often than every 4.3 s, so kept such tasks waiting for as long as they went on.

Evidence: aChainOfHandOversDoesNotRepeatTheWaitForAStartWithoutAnAnswer and aChainOfHandOversDoesNotRepeatTheWaitForALease fail at: after 9 s of hand-overs every 3 s the tasks have not started. They hold now.

Why it works: the record with which a leader gives up the leader key lists the start orders that may be under way with their ages, and unresponsive workers with what is left of their leases. The next leader goes on from there and passes on what it has not settled itself. No wait gets shorter: ages are rounded down and leases up, and both are counted from when the record is read. Leases are believed only if the leader key was vacant, since a leader that was replaced may have renewed them; ages of orders always, since no leader repeats an order of another one. A leader that is lost tells nothing, and its orders are waited for as before.

--- a/modules/coordinator/leadership/LeaderRecord.cpp
+++ b/modules/coordinator/leadership/LeaderRecord.cpp
@@ -12,6 +12,8 @@
     value["epoch"] = this->epoch;
     if (this->earlierOrdersFor)
         value["earlier_orders_ms"] = Json::Int64(this->earlierOrdersFor->count());
+    if (!this->earlierOrders.empty())
+        value["earlier_orders"] = this->earlierOrders;
     return toCompactJson(value);
 }
 
@@ -21,10 +23,12 @@
     if (!value || !(*value)["daemon"].isString() || !(*value)["incarnation"].isString() || !(*value)["epoch"].isUInt())
         return std::nullopt;
     LeaderRecord record { DaemonId((*value)["daemon"].asString()), IncarnationId((*value)["incarnation"].asString()),
-        (*value)["epoch"].asUInt(), std::nullopt };
-    const Json::Value& earlierOrders = (*value)["earlier_orders_ms"];
-    if (earlierOrders.isUInt())
-        record.earlierOrdersFor = Milliseconds(earlierOrders.asUInt());
+        (*value)["epoch"].asUInt() };
+    const Json::Value& earlierOrdersMs = (*value)["earlier_orders_ms"];
+    if (earlierOrdersMs.isUInt())
+        record.earlierOrdersFor = Milliseconds(earlierOrdersMs.asUInt());
+    if ((*value)["earlier_orders"].isString())
+        record.earlierOrders = (*value)["earlier_orders"].asString();
     return record;
 }
 
--- a/modules/coordinator/leadership/Leadership.h
+++ b/modules/coordinator/leadership/Leadership.h
@@ -1,16 +1,19 @@
 #pragma once
 
 #include <coordinator/leadership/DaemonSizes.h>
+#include <coordinator/leadership/EarlierOrdersCodec.h>
 #include <coordinator/leadership/LeaderRecord.h>
 #include <coordinator/leadership/StoreKeys.h>
 #include <coordinator/store/PrefixMirror.h>
 #include <core/time/Deadline.h>
+#include <jobs/tables/EarlierOrders.h>
 
 #include <algorithm>
 #include <functional>
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 
 namespace Greengage {
 
@@ -21,6 +24,8 @@
     std::uint32_t epoch = 0;
     /// Until when an earlier leader may still send orders.
     Deadline earlierOrdersExpire;
+    /// What the leaders before have told of their orders.
+    EarlierOrders earlierOrders;
 };
 
 /// Elects, through the shared store, the leader: the daemon that places tasks. The leader key is acquired by
@@ -37,6 +42,8 @@
         std::function<std::string()> makeHeartbeatPayload;
         /// A heartbeat of any leader has been read; called with its payload.
         std::function<void(const std::string&)> onHeartbeat;
+        /// Describes, for the next leader, the orders of this one and of those before that may still have an effect.
+        std::function<EarlierOrders()> describeOrders = [] { return EarlierOrders(); };
     };
 
     /// How long a leader acts after the store last confirmed its leadership.
@@ -126,7 +133,7 @@
     {
         this->isResigning = true;
         if (this->term)
-            this->handOver("shutting down");
+            this->handOver("shutting down", this->handlers.describeOrders());
     }
 
     /// Hands over the leadership because an unforeseen error may have left this daemon's view in doubt, and does not
@@ -135,14 +142,16 @@
     {
         this->acquireFrom = std::max(this->acquireFrom, notBefore);
         if (this->term)
-            this->handOver("an unforeseen error left the state of the leader in doubt");
+            this->handOver("an unforeseen error left the state of the leader in doubt", {});
     }
 
 private:
-    void handOver(std::string_view reason)
+    /// `orders` are those that may still have an effect.
+    void handOver(std::string_view reason, const EarlierOrders& orders)
     {
         LeaderRecord vacant { DaemonId(), this->self.incarnation, this->term->epoch,
-            Leadership::remainingRoundedUp(this->term->earlierOrdersExpire) };
+            Leadership::remainingRoundedUp(this->term->earlierOrdersExpire),
+            this->ordersCodec.encode(orders, BootClock::now()) };
         KvCommit commit { { this->condition() }, { { StoreKeys::leader, vacant.encode() } }, {} };
         this->addOfferRemoval(commit);
         this->stepDown(reason);
@@ -165,6 +174,14 @@
         this->leader = std::move(record);
         Milliseconds span = this->leader ? this->leader->earlierOrdersFor.value_or(validity) : validity;
         this->earlierOrdersExpire = Deadline::after(BootClock::now(), span);
+        // A record that is read again tells ages as of when it was written.
+        std::pair source(this->leader ? this->leader->epoch : 0, this->leader ? this->leader->earlierOrders : "");
+        if (source == this->ordersSource)
+            return;
+        this->ordersSource = std::move(source);
+        this->earlierOrders = this->ordersSource.second.empty()
+            ? EarlierOrders()
+            : this->ordersCodec.decode(this->ordersSource.second, BootClock::now());
     }
 
     void handleListing(const KvListing& listing)
@@ -200,7 +217,7 @@
     void considerHandingOver()
     {
         if (this->term && this->sizes.of(this->offeredBy) > this->sizes.own())
-            this->handOver("a larger daemon has offered itself");
+            this->handOver("a larger daemon has offered itself", this->handlers.describeOrders());
     }
 
     /// Offers to replace a smaller leader.
@@ -324,6 +341,11 @@
         LeaderRecord record = this->self;
         record.epoch = this->leader ? this->leader->epoch + 1 : 0;
         record.earlierOrdersFor = earlierOrdersFor;
+        EarlierOrders orders = this->earlierOrders;
+        // A leader that has not handed over may have granted leases since.
+        if (this->leader && !this->leader->daemon.isEmpty())
+            orders.leases.clear();
+        record.earlierOrders = this->ordersCodec.encode(orders, BootClock::now());
         KvCommit commit { { { StoreKeys::leader, this->leaderRevision } },
             { { StoreKeys::leader, record.encode() }, { StoreKeys::heartbeat, this->handlers.makeHeartbeatPayload() } },
             {} };
@@ -353,7 +375,7 @@
             return;
         this->lastToken = token;
         this->highestToken = token;
-        this->term = Term { token, this->leader->epoch, this->earlierOrdersExpire };
+        this->term = Term { token, this->leader->epoch, this->earlierOrdersExpire, this->earlierOrders };
         this->actUntil = confirmedUntil;
         Instant now = BootClock::now();
         this->nextHeartbeat = confirmedUntil.hasPassed(now) ? Deadline(now) : Deadline::after(now, heartbeatPeriod);
@@ -384,6 +406,10 @@
     Deadline nextHeartbeat;
     /// Until when leaders before the one that `leader` names may send orders.
     Deadline earlierOrdersExpire;
+    EarlierOrdersCodec ordersCodec;
+    /// What the record of the leader key tells of the orders of earlier leaders, and the epoch and text of that record.
+    EarlierOrders earlierOrders;
+    std::pair<std::uint32_t, std::string> ordersSource;
     /// This daemon does not acquire the leadership before.
     Deadline acquireFrom;
     bool isHeartbeatPending = false;
--- a/modules/coordinator/placing/Coordinator.h
+++ b/modules/coordinator/placing/Coordinator.h
@@ -45,7 +45,8 @@
         , leadership(base, store, std::move(daemon), std::move(incarnation), limits.cpuMillis,
               { [this](const Term& term) { this->beginSession(term); }, [this] { this->endSession(); },
                   [this] { return this->makeHeartbeatPayload(); },
-                  [this](const std::string& text) { this->handleHeartbeat(text); } })
+                  [this](const std::string& text) { this->handleHeartbeat(text); },
+                  [this] { return this->describeOrders(); } })
         , timer(base, [this] { this->tick(); })
     {
     }
@@ -262,6 +263,7 @@
         tables.removedQueues = this->removedQueues;
         std::erase_if(this->setAsideUntil, [](const auto& entry) { return entry.second.hasPassed(BootClock::now()); });
         tables.setAsideUntil = this->setAsideUntil;
+        tables.earlierOrders = term.earlierOrders;
         tables.lowestRun = 1 + term.epoch * runsPerEpoch;
         auto inheritedExpire = [&term](Milliseconds span) { return Deadline(term.earlierOrdersExpire.at() + span); };
         tables.inheritedLeasesExpire = inheritedExpire(LeaseManager<Link>::longestLease(this->limits.leaseDuration));
@@ -273,6 +275,16 @@
         this->timer.schedule(Microseconds(0));
     }
 
+    /// The orders of this leader and of those before that may still have an effect.
+    EarlierOrders describeOrders() const
+    {
+        if (!this->session)
+            return {};
+        if (!this->session->isComplete() || !this->session->loader.arePlacementsRestored())
+            return this->session->tables.earlierOrders;
+        return this->session->leases.describeOrders(BootClock::now());
+    }
+
     /// Steps down, because a worker has seen a higher fencing token: another daemon is the leader.
     void handleFenced() { this->leadership.stepDown("a worker has seen a higher fencing token"); }
 
--- a/modules/coordinator/placing/JobLoader.h
+++ b/modules/coordinator/placing/JobLoader.h
@@ -29,6 +29,9 @@
     /// Whether all jobs that were stored at the beginning are in the job tables.
     bool isLoaded() const { return this->hasLoaded; }
 
+    /// Whether the tasks that an earlier leader placed are bound to their workers.
+    bool arePlacementsRestored() const { return this->hasLoaded && this->inherited.empty(); }
+
     /// Applies a listing of the jobs' keys, or their changes.
     void handleListing(const KvListing&);
 
--- a/modules/coordinator/placing/LeaseManager.h
+++ b/modules/coordinator/placing/LeaseManager.h
@@ -178,6 +178,26 @@
             });
     }
 
+    /// Describes, for the next leader, the start orders that may still be under way and the leases of workers that do
+    /// not answer.
+    EarlierOrders describeOrders(Instant now) const
+    {
+        EarlierOrders orders;
+        Instant latest = now - LeaseManager::longestLease(this->leaseDuration);
+        for (const auto& [id, worker] : this->tables.workers) {
+            bool isUnresponsive = worker.isSuspect || !worker.isReached;
+            for (const auto& [task, attempt] : worker.attempts) {
+                bool isTold
+                    = isUnresponsive || (attempt.isLongRunning && (!attempt.isSettled() || attempt.orderedAt > latest));
+                if (attempt.mayHaveBeenSent() && isTold)
+                    orders.starts[{ task, attempt.run }] = attempt.orderedAt;
+            }
+            if (isUnresponsive && LeaseManager::hasAttempts(worker))
+                orders.leases[id] = this->leaseOf(worker);
+        }
+        return orders;
+    }
+
 private:
     /// How long an answer to a renewal waits for an attempt to end; the longest that workers allow.
     static constexpr Milliseconds longestRenewalWait { 2000 };
@@ -369,19 +389,39 @@
         return Deadline::after(now, LeaseManager::longestLeaseOfUnknown(this->longestGrantedLease));
     }
 
+    /// When the leases expire that earlier leaders may have granted the worker.
+    EarlierLease inheritedLeaseOf(const WorkerRow& worker) const
+    {
+        EarlierLease lease { this->tables.inheritedLeasesExpire, this->tables.inheritedLongestLeasesExpire };
+        const auto& told = this->tables.earlierOrders.leases;
+        if (auto found = told.find(worker.info.id); found != told.end())
+            lease = { std::min(lease.known, found->second.known), std::min(lease.longest, found->second.longest) };
+        // The incarnation that runs may be another one than the earlier leaders knew.
+        if (worker.hasRestarted)
+            lease.known = lease.longest;
+        return lease;
+    }
+
+    /// When the leases of the worker expire that this leader and those before may have granted.
+    EarlierLease leaseOf(const WorkerRow& worker) const
+    {
+        EarlierLease lease { worker.leaseExpires, worker.longestLeaseExpires };
+        if (worker.isReached)
+            return lease;
+        EarlierLease inherited = this->inheritedLeaseOf(worker);
+        return { std::max(lease.known, inherited.known), std::max(lease.longest, inherited.longest) };
+    }
+
     /// Whether no incarnation of the worker holds a lease any more, including one of which no report has told.
     bool hasLongestLeaseExpired(const WorkerRow& worker, Instant now) const
     {
-        return worker.longestLeaseExpires.hasPassed(now)
-            && (worker.isReached || this->tables.inheritedLongestLeasesExpire.hasPassed(now));
+        return this->leaseOf(worker).longest.hasPassed(now);
     }
 
     /// Whether the lease of the worker's known incarnation has certainly expired.
     bool hasLeaseExpired(const WorkerRow& worker, Instant now) const
     {
-        const Deadline& inheritedLeaseExpires
-            = worker.hasRestarted ? this->tables.inheritedLongestLeasesExpire : this->tables.inheritedLeasesExpire;
-        return worker.leaseExpires.hasPassed(now) && (worker.isReached || inheritedLeaseExpires.hasPassed(now));
+        return this->leaseOf(worker).known.hasPassed(now);
     }
 
     /// Whether the start orders of all attempts on the worker are as old as a lease, so that none is taken for being
--- a/modules/coordinator/tests/EndedWorkerTests.cpp
+++ b/modules/coordinator/tests/EndedWorkerTests.cpp
@@ -60,6 +60,13 @@
     {
         this->cutOff(daemon);
         this->workers.restart(this->lost);
+        this->showEnd(daemon);
+    }
+
+    /// Shows a daemon that the worker has ended with its VM.
+    void showEnd(FakeDaemon& daemon)
+    {
+        this->cutOff(daemon);
         auto& vm = this->vmOfLost(daemon);
         vm.state = VmPhase::Down;
         vm.worker = WorkerId();
@@ -100,6 +107,27 @@
         return running == 2U;
     }
 
+    /// Hands the leadership on every 3 s until the condition holds, for as long as a long-running task may be missing.
+    /// `prepare` is called with each new daemon.
+    template <typename Prepare> void playHandOvers(Prepare prepare, const std::function<bool()>& condition)
+    {
+        auto deadline = Deadline::after(BootClock::now(), longestAbsence);
+        FakeDaemon* leader = this->first.get();
+        while (!condition() && !deadline.hasPassed(BootClock::now())) {
+            this->runFor(Milliseconds(600));
+            std::string name = "next" + std::to_string(this->successors.size());
+            auto& successor = *this->successors.emplace_back(this->makeDaemon(name.c_str(), name.c_str()));
+            EndedWorkerFixture::listVms(successor);
+            prepare(successor);
+            successor.coordinator.start();
+            this->runUntil(condition, Milliseconds(2400));
+            leader->coordinator.resign();
+            leader = &successor;
+        }
+        BOOST_TEST(condition());
+    }
+
+    std::vector<std::unique_ptr<FakeDaemon>> successors;
     WorkerId lost;
 };
 
@@ -162,6 +190,31 @@
     BOOST_TEST(this->workers.startedTwice.empty());
 }
 
+/// Guards against a start without an answer that each leader waits for anew.
+BOOST_AUTO_TEST_CASE(aChainOfHandOversDoesNotRepeatTheWaitForAStartWithoutAnAnswer)
+{
+    this->first->link.lateStarts = 1;
+    this->first->link.lateStartDelay = Milliseconds(60'000);
+    this->submitHeldUp();
+    BOOST_REQUIRE(this->runUntil([this] { return this->first->link.heldUpAt.has_value(); }));
+    this->lost = *this->first->link.heldUpAt;
+    this->endWorker(*this->first);
+    this->playHandOvers([this](FakeDaemon& daemon) { this->showEnd(daemon); },
+        [this] { return this->workers.startedJobs.contains(JobId("held")); });
+    BOOST_TEST(this->workers.startedTwice.empty());
+}
+
+/// Guards against the lease of a worker that is cut off, which each leader waits for anew.
+BOOST_AUTO_TEST_CASE(aChainOfHandOversDoesNotRepeatTheWaitForALease)
+{
+    std::size_t startsBefore = this->workers.starts;
+    this->cutOff(*this->first);
+    this->playHandOvers(
+        [this](FakeDaemon& daemon) { this->cutOff(daemon); }, [&] { return this->workers.starts > startsBefore; });
+    BOOST_TEST(this->workers.startedTwice.empty());
+    BOOST_TEST(this->workers.lapses > 0U);
+}
+
 /// Guards against a wait, begun anew by each leader, for a task that has started just before its worker ends.
 BOOST_AUTO_TEST_CASE(aTaskThatHasJustStartedOnAnEndedWorkerIsWaitedForByNoLeader)
 {
--- a/modules/coordinator/tests/LeadershipTests.cpp
+++ b/modules/coordinator/tests/LeadershipTests.cpp
@@ -97,6 +97,26 @@
     BOOST_TEST((present->earlierOrdersFor == Milliseconds(0)));
 }
 
+/// Guards against waits that a hand-over shortens.
+BOOST_AUTO_TEST_CASE(noWaitEndsSoonerForTheNextLeaderThanForTheLastOne)
+{
+    Instant writtenAt = BootClock::now();
+    Instant readAt = writtenAt + Microseconds(70'300);
+    std::pair<TaskName, std::uint32_t> attempt { { JobId("5c0e7a21d94b36f8"), 0, 1, 17 }, 2 };
+    EarlierOrders orders;
+    orders.starts[attempt] = writtenAt - Microseconds(744'900);
+    orders.leases[WorkerId("w")]
+        = { Deadline::after(writtenAt, Microseconds(3'100'100)), Deadline::after(writtenAt, Microseconds(5'600'100)) };
+    EarlierOrdersCodec codec;
+    EarlierOrders read = codec.decode(codec.encode(orders, writtenAt), readAt);
+    BOOST_REQUIRE(read.starts.contains(attempt));
+    BOOST_TEST((read.starts[attempt] >= orders.starts[attempt]));
+    BOOST_TEST((read.starts[attempt] <= orders.starts[attempt] + Milliseconds(72)));
+    BOOST_TEST((read.leases[WorkerId("w")].known >= orders.leases[WorkerId("w")].known));
+    BOOST_TEST((read.leases[WorkerId("w")].longest >= orders.leases[WorkerId("w")].longest));
+    BOOST_TEST(codec.decode(R"({"starts":[["x",1,1],[]],"leases":{}})", readAt).starts.empty());
+}
+
 /// Guards against a wait for orders of a leader that has resigned: the watch shows the acquisition before its answer.
 BOOST_AUTO_TEST_CASE(noOrdersOfALeaderThatHasResignedAreWaitedForIfTheWatchIsFaster)
 {
--- a/tests/fuzz/targets/platform.cpp
+++ b/tests/fuzz/targets/platform.cpp
@@ -1,5 +1,6 @@
 #include <coordinator/fleet/VmOrderRecord.h>
 #include <coordinator/fleet/WaveRecord.h>
+#include <coordinator/leadership/EarlierOrdersCodec.h>
 #include <coordinator/leadership/LeaderRecord.h>
 #include <coordinator/placing/EndedJob.h>
 #include <coordinator/placing/WorkerRosterRecord.h>
@@ -7,6 +8,7 @@
 #include <jobs/codec/JobRecordCodec.h>
 #include <jobs/systems/PlacementSystem.h>
 #include <jobs/systems/PoolLoad.h>
+#include <jobs/tables/EarlierOrders.h>
 #include <jobs/tables/JobTables.h>
 #include <platform/ingress/JobBodyCodec.h>
 #include <platform/ingress/OperatorConfiguration.h>
@@ -46,6 +48,7 @@
     auto wave = WaveRecord::decode(text);
     auto roster = WorkerRosterRecord::decode(text);
     auto leader = LeaderRecord::decode(text);
+    auto earlier = EarlierOrdersCodec().decode(text, Instant());
     auto ended = EndedJob::decode(text);
     auto orders = VmOrderRecord::decode(text);
 }
