--- a/modules/coordinator/placing/JobLoader.h
+++ b/modules/coordinator/placing/JobLoader.h
@@ -29,6 +29,9 @@
     /// Whether all jobs that were stored at the beginning are in the job tables.
     bool isLoaded() const { return this->hasLoaded; }
 
+    /// Whether the tasks that an earlier leader placed are bound to their workers.
+    bool arePlacementsRestored() const { return this->hasLoaded && this->inherited.empty(); }
+
     /// Applies a listing of the jobs' keys, or their changes.
     void handleListing(const KvListing&);
 
@@ -38,6 +41,8 @@
 private:
     void addJob(const JobId&, const KvItem&, const JobProgress&, std::int64_t progressRevision);
     void applyCancellation(const JobId&);
+    /// Logs the long-running tasks among them, with what their starts rest on.
+    void logInherited(const std::map<TaskName, TaskPlacement>&, Instant now) const;
 
     JobTables& tables;
     std::function<void(const JobRow&)> onJobAdded;
