takeovers: check that long-running tasks run again in time, and play chains of hand-overs

The model of take-overs checked TWICE, tokens, leases and room, but of LOST only that a task runs at some time of 9 calm seconds after the last fault. Nothing in it showed that each leader of a chain waits anew for a start without an answer.

The world now samples, from what its workers run and hold, the sentence of the rule: a long-running task has to run again within 3 s in which there is room, from 6 s after its last run, if these 3 s and the 4 s before were calm. Kills, freezes, cuts, lost answers, refused calls, restarts and losses of workers are disruptions for as long as they last; planned restarts of daemons are none. All plays are checked by it. A worker that is cut off until further notice counts as a disruption only when that begins, which is stricter than the rule: its lease has to be over after a chain of leaders as after one.

playHandOvers takes workers away, for good or until the end of the round, around start orders that get no answer or are held up, tasks that fail and short jobs, and then restarts leaders as planned every 0.5 to 5 s.

--- a/tests/takeovers/ModelDaemon.h
+++ b/tests/takeovers/ModelDaemon.h
@@ -28,6 +28,8 @@
     std::int64_t token() { return this->coordinator.leadershipState().currentTerm().fencingToken; }
 
     std::shared_ptr<Process> process = std::make_shared<Process>();
+    /// Whether it has been told to stop, as before a planned restart.
+    bool isStopping = false;
     ModelStore store;
     ModelLink link;
     FakeVms vms;
--- a/tests/takeovers/ModelStore.h
+++ b/tests/takeovers/ModelStore.h
@@ -26,6 +26,8 @@
     Milliseconds commitDelay { 0 };
     /// Watches of this prefix get no answer.
     std::string silentWatch = {};
+
+    bool operator==(const StoreFaults&) const = default;
 };
 
 /// One daemon's access to the store of the model.
--- a/tests/takeovers/ModelWorld.cpp
+++ b/tests/takeovers/ModelWorld.cpp
@@ -11,6 +11,12 @@
 constexpr std::int64_t longDemand = 4000;
 constexpr std::int64_t shortDemand = 500;
 
+/// A long-running task has to run again within `timeToRestart` in which there is room, from `restartGrace` after its
+/// last run, unless there was a disruption in that time or in the `calmBefore` it.
+constexpr Seconds restartGrace { 6 };
+constexpr Seconds timeToRestart { 3 };
+constexpr Seconds calmBefore { 4 };
+
 std::shared_ptr<const JobPolicies> makePolicies()
 {
     auto policies = std::make_shared<JobPolicies>();
@@ -51,11 +57,8 @@
         this->latestFault
             = order.task.text() + " run " + std::to_string(order.run) + " at " + id.string() + " " + fault;
     };
-    for (const auto& info : this->directory()) {
-        auto& worker = this->workers.workers[info.id];
-        worker.startedAtMs = FakeWorkers::clockMs();
-        worker.clockPercent = 98 + static_cast<std::int64_t>(this->random() % 3);
-    }
+    for (std::size_t index = 0; index < workerCount; ++index)
+        this->addWorker();
     this->daemons.resize(daemonCount);
     for (std::size_t index = 0; index < daemonCount; ++index)
         this->start(index);
@@ -99,6 +102,7 @@
         [this](const WorkerId& worker, std::int64_t token) { this->handleLease(worker, token); },
         ModelWorld::idOf(index), incarnation, this->limits);
     ModelDaemon& daemon = *this->daemons[index];
+    daemon.vms.vms = this->vms;
     VirtualLoop::shared().runAs(daemon.process, [this, &daemon] {
         daemon.coordinator.setPolicies(makePolicies());
         daemon.coordinator.onWorkerWatchNeeded([this, &daemon](bool isNeeded) {
@@ -113,10 +117,19 @@
 {
     if (!this->daemons[index])
         return;
+    if (!this->daemons[index]->isStopping)
+        this->noteDisruption();
     this->daemons[index]->process->isKilled = true;
     this->daemons[index].reset();
 }
 
+void ModelWorld::stop(std::size_t index)
+{
+    ModelDaemon& daemon = *this->daemons[index];
+    daemon.isStopping = true;
+    VirtualLoop::shared().runAs(daemon.process, [&daemon] { daemon.coordinator.resign(); });
+}
+
 void ModelWorld::freeze(std::size_t index, Milliseconds span)
 {
     if (this->daemons[index])
@@ -151,11 +164,13 @@
     return record;
 }
 
-void ModelWorld::submitJob(std::uint32_t tasks)
+void ModelWorld::submitJob(std::uint32_t tasks, std::uint32_t perWorkerLimit)
 {
     this->longRunningTasks = tasks;
+    this->perWorkerLimit = perWorkerLimit;
     JobRecord record = ModelWorld::makeJob("j", tasks);
     record.spec.steps.front().longRunning = true;
+    record.spec.steps.front().perWorkerLimit = perWorkerLimit;
     this->submit(record);
 }
 
@@ -189,6 +204,101 @@
     });
 }
 
+void ModelWorld::loseWorker(const WorkerId& id, bool keepsVm)
+{
+    if (!this->lostWorkers.insert(id).second)
+        return;
+    this->noteDisruption();
+    this->workers.restart(id);
+    this->leaseEnds.erase(id);
+    this->workerFaults[id] = { true };
+    auto vm = std::find_if(this->vms.begin(), this->vms.end(), [&id](const VmInfo& info) { return info.worker == id; });
+    vm->state = VmPhase::Down;
+    vm->worker = WorkerId();
+    if (!keepsVm)
+        this->vms.erase(vm);
+    this->listVms();
+    Milliseconds heldInDirectory(500 + this->random() % 2500);
+    VirtualLoop::shared().schedule(heldInDirectory, nullptr, [this, id] { this->tellAll(id, false); });
+}
+
+void ModelWorld::cutOffWorker(const WorkerId& id)
+{
+    if (!this->lostWorkers.insert(id).second)
+        return;
+    this->noteDisruption();
+    this->cutOffWorkers.insert(id);
+    this->workerFaults[id].isDown = true;
+}
+
+void ModelWorld::returnWorkers()
+{
+    this->noteDisruption();
+    for (const auto& id : std::exchange(this->cutOffWorkers, {})) {
+        this->lostWorkers.erase(id);
+        this->workerFaults[id] = {};
+    }
+}
+
+void ModelWorld::addWorker()
+{
+    WorkerId id("w" + std::to_string(this->addedWorkers++));
+    auto& worker = this->workers.workers[id];
+    worker.startedAtMs = FakeWorkers::clockMs();
+    worker.clockPercent = 98 + static_cast<std::int64_t>(this->random() % 3);
+    VmInfo vm;
+    vm.id = VmId("m-" + id.string());
+    vm.pool = PoolId("north");
+    vm.state = VmPhase::Up;
+    vm.capacity = { workerRoom, 64'000, 0 };
+    vm.worker = id;
+    this->vms.push_back(vm);
+    this->listVms();
+    this->tellAll(id, true);
+}
+
+std::vector<WorkerId> ModelWorld::workersInTouch() const
+{
+    std::vector<WorkerId> inTouch;
+    std::set_difference(this->listedWorkers.begin(), this->listedWorkers.end(), this->lostWorkers.begin(),
+        this->lostWorkers.end(), std::back_inserter(inTouch));
+    return inTouch;
+}
+
+void ModelWorld::failTask()
+{
+    std::vector<std::pair<WorkerId, TaskName>> running;
+    for (auto& [id, worker] : this->workers.workers) {
+        this->workers.endDueTasks(worker);
+        for (const auto& [task, run] : worker.running) {
+            if (this->lastRanAt.contains(task))
+                running.emplace_back(id, task);
+        }
+    }
+    if (running.empty())
+        return;
+    const auto& [id, task] = running[this->random() % running.size()];
+    this->workers.endTask(id, task, EndKind::Failed);
+}
+
+void ModelWorld::tellAll(const WorkerId& id, bool isListed)
+{
+    if (isListed)
+        this->listedWorkers.insert(id);
+    else
+        this->listedWorkers.erase(id);
+    for (std::size_t index = 0; index < this->daemons.size(); ++index)
+        this->tellOfWorker(index, id, isListed);
+}
+
+void ModelWorld::listVms()
+{
+    for (auto& daemon : this->daemons) {
+        if (daemon)
+            daemon->vms.vms = this->vms;
+    }
+}
+
 void ModelWorld::tellOfWorker(std::size_t index, const WorkerId& id, bool isListed)
 {
     if (!this->daemons[index])
@@ -233,19 +343,72 @@
 {
     std::int64_t taken = 0;
     for (const auto& [task, run] : this->workers.workers[id].running)
-        taken += task.job == JobId("j") ? longDemand : shortDemand;
+        taken += ModelWorld::demandOf(task);
     if (taken > workerRoom)
         this->violate("a worker runs more than it has room for: " + id.string(), order.fencingToken);
 }
 
+std::int64_t ModelWorld::demandOf(const TaskName& task) { return task.job == JobId("j") ? longDemand : shortDemand; }
+
+bool ModelWorld::isDisrupted() const
+{
+    Instant now = BootClock::now();
+    auto isDaemonHarmed = [now](const auto& daemon) {
+        return !daemon || daemon->process->isFrozen(now) || *daemon->store.faults != StoreFaults()
+            || !daemon->link.fake.unreachable.empty();
+    };
+    auto isWorkerHarmed = [this](const auto& entry) {
+        return entry.second != WorkerFaults() && !this->lostWorkers.contains(entry.first);
+    };
+    return !this->restarting.empty() || std::any_of(this->daemons.begin(), this->daemons.end(), isDaemonHarmed)
+        || std::any_of(this->workerFaults.begin(), this->workerFaults.end(), isWorkerHarmed);
+}
+
+void ModelWorld::checkLongRunningTasks()
+{
+    Instant now = BootClock::now();
+    if (this->isDisrupted())
+        this->noteDisruption();
+    bool hasRoom = false;
+    for (auto& [id, worker] : this->workers.workers) {
+        this->workers.endDueTasks(worker);
+        std::int64_t free = workerRoom;
+        std::uint32_t siblings = 0;
+        for (const auto& [task, run] : worker.running) {
+            free -= ModelWorld::demandOf(task);
+            if (auto found = this->lastRanAt.find(task); found != this->lastRanAt.end()) {
+                found->second = now;
+                siblings += 1;
+            }
+        }
+        bool isInTouch = this->listedWorkers.contains(id) && !this->lostWorkers.contains(id);
+        bool isWithinLimit = !this->perWorkerLimit || siblings < this->perWorkerLimit;
+        hasRoom = hasRoom || (isInTouch && isWithinLimit && free >= longDemand);
+    }
+    if (!hasRoom)
+        this->fullAt = now;
+    for (const auto& [task, ranAt] : this->lastRanAt) {
+        Instant since = std::max({ ranAt + restartGrace, this->fullAt, this->disruptedAt + calmBefore });
+        if (now - since > timeToRestart)
+            this->violate("a long-running task is missing though there is room: " + task.text(),
+                ranAt.time_since_epoch().count());
+    }
+}
+
 void ModelWorld::submit(JobRecord record)
 {
     ModelDaemon* leader = this->actingLeader();
     if (!leader)
         return;
     ModelDaemon& daemon = *leader;
-    VirtualLoop::shared().runAs(daemon.process, [&daemon, &record] {
-        daemon.jobService.submit(record, Deadline::after(BootClock::now(), Seconds(5)), [](JobRequestOutcome) {});
+    VirtualLoop::shared().runAs(daemon.process, [this, &daemon, &record] {
+        daemon.jobService.submit(
+            record, Deadline::after(BootClock::now(), Seconds(5)), [this, record](JobRequestOutcome outcome) {
+                if (outcome != JobRequestOutcome::Stored || !record.spec.steps.front().longRunning)
+                    return;
+                for (std::uint32_t index = 0; index < record.spec.steps.front().taskCount; ++index)
+                    this->lastRanAt[{ record.id, 0, 0, index }] = BootClock::now();
+            });
     });
 }
 
@@ -263,6 +426,7 @@
 {
     VirtualLoop::shared().schedule(samplePeriod, nullptr, [this] { this->sample(); });
     this->noteTerms();
+    this->checkLongRunningTasks();
     Instant now = BootClock::now();
     bool hasLeader = false;
     for (auto& daemon : this->daemons) {
@@ -355,9 +519,9 @@
 std::vector<WorkerInfo> ModelWorld::directory() const
 {
     std::vector<WorkerInfo> listed;
-    for (std::size_t index = 0; index < workerCount; ++index) {
+    for (const auto& id : this->listedWorkers) {
         WorkerInfo info;
-        info.id = WorkerId("w" + std::to_string(index));
+        info.id = id;
         info.pool = PoolId("north");
         info.capacity = { workerRoom, 64'000, 0 };
         auto listedIncarnation = this->listedIncarnations.find(info.id);
--- a/tests/takeovers/ModelWorld.h
+++ b/tests/takeovers/ModelWorld.h
@@ -33,13 +33,15 @@
     /// Starts the daemon with this index, as a new incarnation if it had run before.
     void start(std::size_t index);
     void kill(std::size_t index);
+    /// Has the daemon hand over, so that it can be started again without a disruption.
+    void stop(std::size_t index);
     void freeze(std::size_t index, Milliseconds span);
     /// Whether the store names the daemon with this index as the leader.
     bool hasAcquired(std::size_t index) const;
     std::size_t indexOf(const ModelDaemon& daemon) const;
 
-    /// Hands in a job of long-running tasks.
-    void submitJob(std::uint32_t tasks);
+    /// Hands in a job of long-running tasks, of which a worker runs at most `perWorkerLimit`; zero for no limit.
+    void submitJob(std::uint32_t tasks, std::uint32_t perWorkerLimit = 0);
     /// Hands in a job of tasks of this length.
     void submitShortJob(std::uint32_t tasks, Milliseconds length);
 
@@ -47,6 +49,21 @@
     /// or never.
     void restartWorker(const WorkerId&, Milliseconds down, std::optional<Milliseconds> listedAfter);
 
+    /// Ends a worker for good. Its VM is listed as down, or leaves the fleet.
+    void loseWorker(const WorkerId&, bool keepsVm);
+    /// Cuts off a worker from all daemons, until `returnWorkers` is called.
+    void cutOffWorker(const WorkerId&);
+    void returnWorkers();
+    /// Adds a worker on a VM of its own.
+    void addWorker();
+    /// The workers that are neither lost nor cut off.
+    std::vector<WorkerId> workersInTouch() const;
+    /// Ends a long-running task, drawn from those that run, as failed.
+    void failTask();
+
+    /// Notes that something has happened after which long-running tasks may take longer to run again.
+    void noteDisruption() { this->disruptedAt = VirtualLoop::shared().now(); }
+
     /// Tells a daemon that the directory shows a worker, as its current incarnation, or does not.
     void tellOfWorker(std::size_t index, const WorkerId&, bool isListed);
 
@@ -94,6 +111,13 @@
     /// Checks that no lease is left of those that leaders before this one have granted.
     void checkLeases(std::int64_t token);
     void checkRoom(const WorkerId&, const StartAttempt&);
+    /// Checks that no long-running task is missing for longer than allowed while workers have room for it.
+    void checkLongRunningTasks();
+    bool isDisrupted() const;
+    static std::int64_t demandOf(const TaskName&);
+    void tellAll(const WorkerId&, bool isListed);
+    /// Shows the fleet to all daemons.
+    void listVms();
     /// Notes once for each term what it broke.
     void violate(const std::string& what, std::int64_t token);
     std::vector<WorkerInfo> directory() const;
@@ -107,6 +131,19 @@
     /// The incarnations that the directory shows.
     std::map<WorkerId, std::int64_t> listedIncarnations;
     std::set<WorkerId> restarting;
+    /// The workers that the directory shows.
+    std::set<WorkerId> listedWorkers;
+    std::size_t addedWorkers = 0;
+    /// Workers that are lost or cut off until further notice. Only the loss is a disruption.
+    std::set<WorkerId> lostWorkers;
+    std::set<WorkerId> cutOffWorkers;
+    std::vector<VmInfo> vms;
+    /// When each long-running task last ran, or was accepted.
+    std::map<TaskName, Instant> lastRanAt;
+    std::uint32_t perWorkerLimit = 0;
+    /// When workers last had no room for a long-running task.
+    Instant fullAt;
+    Instant disruptedAt;
     std::map<JobId, Milliseconds> taskLengths;
     std::uint32_t longRunningTasks = 0;
     std::string latestFault;
--- a/tests/takeovers/TakeoverPlay.cpp
+++ b/tests/takeovers/TakeoverPlay.cpp
@@ -58,6 +58,92 @@
     this->world.runCalmly(Seconds(9));
 }
 
+void TakeoverPlay::playHandOvers(std::size_t rounds)
+{
+    this->world.runUntil([this] { return this->world.actingLeader(); }, Seconds(10));
+    if (this->happens(50))
+        this->world.submitJob(3, 1);
+    else
+        this->world.submitJob(5);
+    this->world.runFor(Seconds(3));
+    for (std::size_t round = 0; round < rounds; ++round)
+        this->playRoundOfHandOvers();
+}
+
+void TakeoverPlay::playRoundOfHandOvers()
+{
+    std::size_t workersBefore = this->world.workersInTouch().size();
+    bool isLeaderHarmed = this->happens(20);
+    this->takeAwayWorker(!isLeaderHarmed);
+    if (this->happens(30))
+        this->takeAwayWorker(!isLeaderHarmed);
+    if (this->happens(10))
+        this->cutWorkers();
+    if (isLeaderHarmed)
+        TakeoverPlay::later(this->between(0, 2000), [this] { this->harmLeader(); });
+    std::size_t handOvers = 2 + this->world.random() % 8;
+    for (std::size_t number = 0; number < handOvers; ++number) {
+        this->world.runFor(this->between(500, 5000));
+        this->handOver();
+        if (this->happens(5))
+            this->world.returnWorkers();
+    }
+    this->world.runFor(this->between(500, 9000));
+    this->world.returnWorkers();
+    for (auto& daemon : this->world.daemons) {
+        if (daemon)
+            daemon->link.fake.unreachable.clear();
+    }
+    while (this->world.workersInTouch().size() < workersBefore)
+        this->world.addWorker();
+    this->world.runFor(this->between(500, 4000));
+}
+
+void TakeoverPlay::handOver()
+{
+    // A majority stays that can lead.
+    auto stopping = static_cast<std::size_t>(std::count_if(this->world.daemons.begin(), this->world.daemons.end(),
+        [](const auto& daemon) { return !daemon || daemon->isStopping; }));
+    ModelDaemon* leader = this->world.actingLeader();
+    if (!leader || 2 * (stopping + 1) > this->world.daemons.size())
+        return;
+    std::size_t index = this->world.indexOf(*leader);
+    this->world.stop(index);
+    TakeoverPlay::later(this->between(50, 3000), [this, index] { this->world.start(index); });
+}
+
+void TakeoverPlay::takeAwayWorker(bool mayBeCutOff)
+{
+    auto inTouch = this->world.workersInTouch();
+    WorkerId id = inTouch[this->world.random() % inTouch.size()];
+    Milliseconds delay = this->between(1, 1500);
+    auto& faults = this->world.workerFaults[id];
+    switch (this->world.random() % 3) {
+    case 0:
+        faults.losesAnswers = true;
+        break;
+    case 1:
+        faults.heldUpPercent = 20 + this->world.random() % 80;
+        break;
+    default:
+        break;
+    }
+    bool isCutOff = mayBeCutOff && this->happens(40);
+    TakeoverPlay::later(delay, [this, id, isCutOff, keepsVm = this->happens(50)] {
+        if (isCutOff)
+            this->world.cutOffWorker(id);
+        else
+            this->world.loseWorker(id, keepsVm);
+    });
+    if (this->happens(70))
+        TakeoverPlay::later(delay + this->between(0, 2000), [this] { this->world.addWorker(); });
+    for (std::size_t number = this->world.random() % 4; number > 0; --number) {
+        TakeoverPlay::later(this->between(0, 3000), [this] { this->world.failTask(); });
+        TakeoverPlay::later(this->between(0, 3000),
+            [this] { this->world.submitShortJob(1 + this->world.random() % 3, this->between(300, 6000)); });
+    }
+}
+
 void TakeoverPlay::harmWorker(const WorkerId& id)
 {
     WorkerFaults& faults = this->world.workerFaults[id];
@@ -121,9 +207,13 @@
 
 void TakeoverPlay::hideWorker(const WorkerId& id)
 {
+    this->world.noteDisruption();
     for (std::size_t index = 0; index < this->world.daemons.size(); ++index) {
         this->world.tellOfWorker(index, id, false);
-        TakeoverPlay::later(this->between(50, 4000), [this, index, id] { this->world.tellOfWorker(index, id, true); });
+        TakeoverPlay::later(this->between(50, 4000), [this, index, id] {
+            this->world.noteDisruption();
+            this->world.tellOfWorker(index, id, true);
+        });
     }
 }
 
@@ -143,10 +233,11 @@
         this->world.freeze(index, this->between(200, 8000));
         break;
     case 3:
-        VirtualLoop::shared().runAs(leader->process, [leader] { leader->coordinator.resign(); });
+        this->world.stop(index);
         TakeoverPlay::later(this->between(50, 3000), [this, index] { this->world.start(index); });
         break;
     case 4:
+        this->world.noteDisruption();
         VirtualLoop::shared().runAs(leader->process, [leader] {
             leader->coordinator.handleError({ ErrorEffect::StateInDoubt, "injected", {} });
         });
--- a/tests/takeovers/TakeoverPlay.h
+++ b/tests/takeovers/TakeoverPlay.h
@@ -19,11 +19,18 @@
     /// with lost leaders in between.
     void playRestarts(std::size_t rounds);
 
+    /// Plays chains of planned hand-overs after workers were lost or cut off, around start orders without an answer.
+    void playHandOvers(std::size_t rounds);
+
     ModelWorld world;
 
 private:
     void playRound();
     void playRoundOfRestarts();
+    void playRoundOfHandOvers();
+    void handOver();
+    /// Ends a worker, or cuts it off until the end of the round, and has tasks start just before and after.
+    void takeAwayWorker(bool mayBeCutOff);
     void harmWorker(const WorkerId&);
     /// Cuts the worker off from one daemon, more often than not from the leader.
     void cutWorkerFromOne(const WorkerId&);
--- a/tests/takeovers/TakeoverTests.cpp
+++ b/tests/takeovers/TakeoverTests.cpp
@@ -90,6 +90,21 @@
     BOOST_TEST(summary.violations.empty());
 }
 
+/// Plays chains of planned hand-overs until there were `atLeast` of them.
+void playHandOvers(std::size_t daemons, std::size_t atLeast)
+{
+    startLog(std::getenv("GREENGAGE_PLAY_LOG") ? LogLevel::Info : LogLevel::Error);
+    constexpr std::size_t roundsPerSeed = 5;
+    Summary summary;
+    for (std::uint64_t seed = firstSeed(); summary.takeovers < atLeast; ++seed) {
+        TakeoverPlay play(seed, daemons);
+        play.playHandOvers(roundsPerSeed);
+        summary.add(play.world);
+    }
+    summary.print(daemons);
+    BOOST_TEST(summary.violations.empty());
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(Takeovers)
@@ -104,4 +119,11 @@
 BOOST_AUTO_TEST_CASE(heldUpCallsRunNoTaskTwiceOnceAWorkerIsReached) { playRestarts(3, 5 * takeoversWanted(), true); }
 BOOST_AUTO_TEST_CASE(heldUpCallsRunNoTaskTwiceWith7Daemons) { playRestarts(7, 2 * takeoversWanted(), true); }
 
+/// Guards against long-running tasks for which each leader waits anew.
+BOOST_AUTO_TEST_CASE(chainsOfHandOversLeaveNoLongRunningTaskOut) { playHandOvers(3, 3 * takeoversWanted()); }
+BOOST_AUTO_TEST_CASE(chainsOfHandOversLeaveNoLongRunningTaskOutWith7Daemons)
+{
+    playHandOvers(7, 3 * takeoversWanted());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/takeovers/WorkerFaults.h
+++ b/tests/takeovers/WorkerFaults.h
@@ -13,6 +13,8 @@
     /// The share of calls, in percent, that get no answer and are carried out after 2 to 12 s, by whichever incarnation
     /// the worker has then.
     unsigned heldUpPercent = 0;
+
+    bool operator==(const WorkerFaults&) const = default;
 };
 
 } // namespace Greengage
