jobs: store that a long-running task's attempt was given up

What callers saw: a long-running task stays away for longer than 9 s while there is room, with planned restarts of leaders in between, although an earlier leader had already given its attempt up.

Cause: an attempt that is given up because its worker has ended, does not answer or does not list it was stored only with the next change of the job, in practice with the next start. While no worker had room, there was none, so the store went on showing the task as placed. The next leader inherited the attempt and waited for the worker's lease anew, 4.3 to 6.9 s, also when there was room by then. Orders that a leader tells of when it hands over do not help, since it has no attempt there any more.

A release now marks the job as unsaved. With room for the task, the next start is planned in the same tick and stored as before, in one write. Nothing is given up sooner: only what the leader has released by its proofs is stored as released, as any other write of the job did before.

--- a/modules/jobs/tables/JobTables.cpp
+++ b/modules/jobs/tables/JobTables.cpp
@@ -266,6 +266,9 @@
             row->former = FormerAttempt { worker.info.id, attempt.run, reason, attempt.orderedAt, provenAt };
         this->stepRow(job, task).activeCount -= 1;
         job.activeTasks -= 1;
+        // Stored, also while there is no room for the task, so that the next leader does not wait for the attempt.
+        if (attempt.isLongRunning && !job.hasEnded())
+            this->markUnsaved(job);
     }
     worker.attempts.erase(found);
 }
--- a/tests/takeovers/HandOverTests.cpp
+++ b/tests/takeovers/HandOverTests.cpp
@@ -190,4 +190,25 @@
     BOOST_TEST(played > 0U);
 }
 
+/// Guards against a next leader that waits for an attempt that the last one had given up while there was no room.
+BOOST_AUTO_TEST_CASE(anAttemptThatWasGivenUpWithoutRoomIsNotWaitedForAgain)
+{
+    std::size_t played = playSeeds([](HandOver& handOver) {
+        ModelWorld& world = handOver.world;
+        world.submitJob(8);
+        world.runFor(Seconds(2));
+        bool isStarted = world.runningTasks() == 8;
+        world.cutOffWorker(WorkerId("w0"));
+        world.runFor(Seconds(6));
+        world.stop(handOver.first);
+        bool isReplaced = handOver.waitForSecond();
+        world.runFor(Seconds(1));
+        world.addWorker();
+        world.runFor(Seconds(1));
+        BOOST_TEST(world.runningTasks() == 8U);
+        return isStarted && isReplaced;
+    });
+    BOOST_TEST(played > 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
