jobs: give up drains that withhold the only room of long-running tasks

What callers saw: a long-running task stays away for as long as a maintenance wave goes on, although a worker that is up has room for it.

Cause: a drain stops long-running tasks within the number that their step allows to be unavailable. A task that has left the VM and finds no other worker is missing, so no other task of its step may leave; the VM is never empty, is never taken down, and accepts no tasks. Two VMs that wait for each other's tasks are a variant. The drain had no limit but for tasks that end.

Evidence: Sizing/aDrainThatIsHeldUpGivesItsRoomBackToLongRunningTasks (two VMs, four tasks of which one may be missing) failed before: the task still waits after 6 s, and would until the wave is changed.

Change: a long-running task that has waited for 4 s gets back the room on a draining VM, if tasks hold that drain up that may not be stopped now. The VM is not drained again for 8 s, and the wave goes on with others. Drains that only wait for tasks to end go on: they are over within the timeout for those. No wait for the end of a run changes: a drain ends no attempt by this.

--- a/modules/coordinator/fleet/FleetController.h
+++ b/modules/coordinator/fleet/FleetController.h
@@ -306,7 +306,11 @@
             return;
         }
         this->isDraining = true;
-        for (const auto& vm : this->system.advance(current, this->fleet.vms(), this->possiblyDown, now)) {
+        auto ready = this->system.advance(current, this->fleet.vms(), this->possiblyDown, now);
+        for (const auto& worker : this->system.drainsGivenUp())
+            writeLog(
+                LogLevel::Warning, LogLine("drain_given_up").add("wave", wave.number).add("worker", worker.string()));
+        for (const auto& vm : ready) {
             if (!this->pendingOrders.contains(vm) && !this->arrivingVms.contains(vm)
                 && this->orderList.mayOrder(vm, now)
                 && (!this->retryFrom.contains(vm) || this->retryFrom.at(vm).hasPassed(now)))
--- a/modules/jobs/systems/MaintenanceSystem.cpp
+++ b/modules/jobs/systems/MaintenanceSystem.cpp
@@ -1,10 +1,12 @@
 #include <jobs/systems/MaintenanceSystem.h>
 
 #include <jobs/model/MaintenanceWave.h>
+#include <jobs/systems/PlacementSystem.h>
 #include <jobs/tables/JobTables.h>
 
 #include <algorithm>
 #include <tuple>
+#include <utility>
 
 namespace Greengage {
 
@@ -42,7 +44,7 @@
                 this->endDrain(*worker);
             continue;
         }
-        if (worker && worker->isMoveOrdered)
+        if (worker && (worker->isMoveOrdered || this->isDrainPaused(*worker, now)))
             continue;
         bool isDraining = worker && worker->isDrainOrdered;
         candidates.push_back({ isDraining, worker ? worker->attempts.size() : 0, id, worker });
@@ -72,6 +74,7 @@
         }
         ready.push_back(candidate.vm);
     }
+    this->endBlockedDrains(now);
     return ready;
 }
 
@@ -101,6 +104,74 @@
     }
 }
 
+void MaintenanceSystem::endBlockedDrains(Instant now)
+{
+    this->givenUp.clear();
+    auto earlier = std::exchange(this->waitingSince, {});
+    for (const auto& [id, job] : this->tables.jobs) {
+        if (job.hasEnded() || !job.record.spec.steps.front().longRunning)
+            continue;
+        TaskName name { id };
+        for (name.occurrence = 0; name.occurrence < job.occurrences.size(); ++name.occurrence) {
+            const auto& steps = job.occurrences[name.occurrence].steps;
+            for (name.step = 0; name.step < steps.size(); ++name.step) {
+                if (steps[name.step].readyAt && steps[name.step].waitingCount())
+                    this->endBlockedDrainsFor(job, name, steps[name.step], earlier, now);
+            }
+        }
+    }
+}
+
+void MaintenanceSystem::endBlockedDrainsFor(const JobRow& job, const TaskName& step, const StepRow& row,
+    const std::map<TaskName, Instant>& earlierWaitingSince, Instant now)
+{
+    TaskName name = step;
+    for (name.index = 0; name.index < row.tasks.size(); ++name.index) {
+        if (row.tasks[name.index].phase != TaskPhase::Waiting)
+            continue;
+        auto found = earlierWaitingSince.find(name);
+        Instant since = found == earlierWaitingSince.end() ? now : found->second;
+        this->waitingSince.emplace(name, since);
+        if (now - since >= longestWaitForDrain)
+            this->endBlockedDrainFor(job, name, now);
+    }
+}
+
+void MaintenanceSystem::endBlockedDrainFor(const JobRow& job, const TaskName& task, Instant now)
+{
+    const StepSpec& step = job.record.spec.steps[task.step];
+    const QueuePolicy* queue = this->tables.policyOf(job);
+    if (!queue || !this->tables.isWithinMaximum(job, step.demand))
+        return;
+    WorkerRow* blocked = nullptr;
+    for (const auto& [id, since] : this->drainStartedAt) {
+        WorkerRow* worker = this->tables.findWorker(id);
+        bool isCandidate = worker && worker->isDrainOrdered && worker->info.pool == queue->pool
+            && PlacementSystem::canTake(*worker, step, task) && this->isBlocked(*worker);
+        if (isCandidate && (!blocked || worker->attempts.size() > blocked->attempts.size()))
+            blocked = worker;
+    }
+    if (!blocked)
+        return;
+    this->drainPausedUntil[blocked->info.id] = Deadline::after(now, drainPause);
+    this->givenUp.push_back(blocked->info.id);
+    this->endDrain(*blocked);
+}
+
+bool MaintenanceSystem::isBlocked(const WorkerRow& worker) const
+{
+    return std::any_of(worker.attempts.begin(), worker.attempts.end(), [this](const auto& entry) {
+        const Attempt& attempt = entry.second;
+        return attempt.isLongRunning && attempt.phase == AttemptPhase::Running && !this->canStop(attempt);
+    });
+}
+
+bool MaintenanceSystem::isDrainPaused(const WorkerRow& worker, Instant now) const
+{
+    auto found = this->drainPausedUntil.find(worker.info.id);
+    return found != this->drainPausedUntil.end() && !found->second.hasPassed(now);
+}
+
 bool MaintenanceSystem::canStop(const Attempt& attempt) const
 {
     const StepSpec* step = this->tables.findStep(attempt.task);
--- a/modules/jobs/systems/MaintenanceSystem.h
+++ b/modules/jobs/systems/MaintenanceSystem.h
@@ -2,6 +2,7 @@
 
 #include <core/text/Identifier.h>
 #include <core/time/Deadline.h>
+#include <jobs/model/TaskName.h>
 #include <jobs/model/VmInfo.h>
 
 #include <map>
@@ -12,7 +13,9 @@
 
 class JobTables;
 struct Attempt;
+struct JobRow;
 struct MaintenanceWave;
+struct StepRow;
 struct WorkerRow;
 
 /// Decides which VMs of a maintenance wave are drained next, and which can be taken down. Long-running tasks leave a
@@ -24,6 +27,11 @@
     /// While the wave is not late, at most one VM in this many of a pool is unavailable at a time, but always at least
     /// one.
     static constexpr std::size_t poolDivisor = 3;
+    /// A long-running task that has waited this long gets back the room that a drain withholds from it, unless the VM
+    /// is about to be empty.
+    static constexpr Milliseconds longestWaitForDrain { 4000 };
+    /// How long a VM whose drain was given up is not drained again.
+    static constexpr Milliseconds drainPause { 8000 };
 
     explicit MaintenanceSystem(JobTables& tables)
         : tables(tables)
@@ -36,17 +44,31 @@
     std::vector<VmId> advance(const MaintenanceWave&, const std::map<VmId, VmInfo>& vms,
         const std::map<VmId, Deadline>& mayBeDown, Instant now);
 
+    /// The workers whose drains the last `advance` gave up, since long-running tasks had room nowhere else.
+    const std::vector<WorkerId>& drainsGivenUp() const { return this->givenUp; }
+
     /// Ends all drains, so that attempts can be placed on these VMs again.
     void endDrains();
 
 private:
     void drain(WorkerRow&, Instant since, Instant now);
+    /// Gives up the drains that withhold room from long-running tasks, and that cannot go on while these are missing.
+    void endBlockedDrains(Instant now);
+    void endBlockedDrainsFor(const JobRow&, const TaskName& step, const StepRow&,
+        const std::map<TaskName, Instant>& earlierWaitingSince, Instant now);
+    void endBlockedDrainFor(const JobRow&, const TaskName&, Instant now);
+    bool isBlocked(const WorkerRow&) const;
+    bool isDrainPaused(const WorkerRow&, Instant now) const;
     void endDrain(WorkerRow&);
     bool canStop(const Attempt&) const;
 
     JobTables& tables;
     /// When the drain of each worker began.
     std::unordered_map<WorkerId, Instant> drainStartedAt;
+    std::unordered_map<WorkerId, Deadline> drainPausedUntil;
+    std::vector<WorkerId> givenUp;
+    /// Since when each long-running task without an attempt has waited.
+    std::map<TaskName, Instant> waitingSince;
 };
 
 } // namespace Greengage
--- a/modules/jobs/systems/PlacementSystem.cpp
+++ b/modules/jobs/systems/PlacementSystem.cpp
@@ -42,6 +42,11 @@
         && (step.requiredLabel.empty() || hasLabel(worker, step.requiredLabel));
 }
 
+bool PlacementSystem::canTake(const WorkerRow& worker, const StepSpec& step, const TaskName& task)
+{
+    return canHost(worker, step) && (!step.perWorkerLimit || countSiblings(worker, task) < step.perWorkerLimit);
+}
+
 namespace {
 
 /// The first criterion for the order in which jobs are placed; smaller values come first.
--- a/modules/jobs/systems/PlacementSystem.h
+++ b/modules/jobs/systems/PlacementSystem.h
@@ -49,6 +49,9 @@
     /// Whether the worker has the free capacity and the label for one task of the step.
     static bool canHost(const WorkerRow&, const StepSpec&);
 
+    /// The same for this task of the step, within the step's limit of tasks per worker.
+    static bool canTake(const WorkerRow&, const StepSpec&, const TaskName&);
+
     static bool hasLabel(const WorkerRow&, const std::string& label);
 
     /// How many attempts of the task's step the worker has.
--- a/modules/jobs/tests/SizingTests.cpp
+++ b/modules/jobs/tests/SizingTests.cpp
@@ -7,6 +7,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <functional>
+
 using namespace Greengage;
 
 namespace {
@@ -60,6 +62,35 @@
         return made;
     }
 
+    /// Plays a wave in steps until the condition holds, for as long as a long-running task may be missing.
+    bool playWave(const MaintenanceWave& wave, const std::function<bool()>& condition)
+    {
+        for (Instant end = this->now + longestAbsence; !condition() && this->now < end;) {
+            this->maintenance.advance(wave, this->vms, {}, this->now);
+            this->placeAndRun();
+            this->endStopped();
+        }
+        return condition();
+    }
+
+    /// Has all workers end what they are ordered to stop.
+    void endStopped()
+    {
+        std::vector<TaskName> stopping;
+        for (const auto& [id, worker] : this->tables.workers) {
+            for (const auto& [name, attempt] : worker.attempts) {
+                if (attempt.phase == AttemptPhase::Stopping)
+                    stopping.push_back(name);
+            }
+        }
+        this->advance(Milliseconds(50));
+        for (const auto& name : stopping)
+            this->end(name, EndKind::Stopped);
+    }
+
+    /// A long-running task has to be at work again by then, if there is room for it all the while.
+    static constexpr Milliseconds longestAbsence { 6000 };
+
     std::map<VmId, VmInfo> vms;
     std::set<VmId> pinned;
     PoolSizing sizing { this->tables };
@@ -337,4 +368,25 @@
     BOOST_TEST(stopping() == 1U);
 }
 
+/// Guards against a drain that waits for good: a long-running task that left the VM finds no other worker, and no other
+/// task of its step may leave before it is back.
+BOOST_AUTO_TEST_CASE(aDrainThatIsHeldUpGivesItsRoomBackToLongRunningTasks)
+{
+    MaintenanceWave wave;
+    wave.number = 1;
+    wave.dueBy = Deadline::after(this->now, Seconds(60));
+    for (const char* name : { "n0", "n1" })
+        this->addVm(name, "north");
+    wave.vms = { VmId("n0") };
+    StepSpec large = memoryHeavyStep(4, 30'000);
+    large.maxUnavailableTasks = 1;
+    this->addJob("catalogue", { large });
+    this->placeAndRun();
+    BOOST_REQUIRE(this->waitingTasks() == 0U);
+    this->maintenance.advance(wave, this->vms, {}, this->now);
+    this->endStopped();
+    BOOST_REQUIRE(this->waitingTasks() == 1U);
+    BOOST_TEST(this->playWave(wave, [this] { return this->waitingTasks() == 0U; }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
