jobs: end the drains of VMs that the wave no longer names

What callers saw: a worker that is up takes no tasks until a wave is completed that does not concern it, so that tasks wait although it has room.

Cause: drains ended with the maintenance of the VM, or when no wave was open or one was completed. If a wave was changed or withdrawn while another one was open, the marks of its VMs stayed for as long as that one went on.

Evidence: Sizing/theDrainOfAVmThatTheWaveNoLongerNamesEnds failed before.

--- a/modules/jobs/systems/MaintenanceSystem.cpp
+++ b/modules/jobs/systems/MaintenanceSystem.cpp
@@ -13,6 +13,7 @@
 std::vector<VmId> MaintenanceSystem::advance(const MaintenanceWave& wave, const std::map<VmId, VmInfo>& vms,
     const std::map<VmId, Deadline>& mayBeDown, Instant now)
 {
+    this->endOtherDrains(wave);
     struct Candidate {
         bool isDraining;
         std::size_t attempts;
@@ -67,8 +68,9 @@
         unavailable += 1;
         if (candidate.worker) {
             candidate.worker->isDrainOrdered = true;
-            Instant since = this->drainStartedAt.try_emplace(candidate.worker->info.id, now).first->second;
-            this->drain(*candidate.worker, since, now);
+            const auto& drain
+                = this->drains.try_emplace(candidate.worker->info.id, Drain { candidate.vm, now }).first->second;
+            this->drain(*candidate.worker, drain.since, now);
             if (!candidate.worker->attempts.empty())
                 continue;
         }
@@ -80,16 +82,27 @@
 
 void MaintenanceSystem::endDrains()
 {
-    for (const auto& [id, since] : this->drainStartedAt) {
+    for (const auto& [id, drain] : this->drains) {
         if (auto* worker = this->tables.findWorker(id))
             worker->isDrainOrdered = false;
     }
-    this->drainStartedAt.clear();
+    this->drains.clear();
+}
+
+void MaintenanceSystem::endOtherDrains(const MaintenanceWave& wave)
+{
+    std::erase_if(this->drains, [&](const auto& entry) {
+        if (std::find(wave.vms.begin(), wave.vms.end(), entry.second.vm) != wave.vms.end())
+            return false;
+        if (auto* worker = this->tables.findWorker(entry.first))
+            worker->isDrainOrdered = false;
+        return true;
+    });
 }
 
 void MaintenanceSystem::endDrain(WorkerRow& worker)
 {
-    if (this->drainStartedAt.erase(worker.info.id))
+    if (this->drains.erase(worker.info.id))
         worker.isDrainOrdered = false;
 }
 
@@ -144,7 +157,7 @@
     if (!queue || !this->tables.isWithinMaximum(job, step.demand))
         return;
     WorkerRow* blocked = nullptr;
-    for (const auto& [id, since] : this->drainStartedAt) {
+    for (const auto& [id, drain] : this->drains) {
         WorkerRow* worker = this->tables.findWorker(id);
         bool isCandidate = worker && worker->isDrainOrdered && worker->info.pool == queue->pool
             && PlacementSystem::canTake(*worker, step, task) && this->isBlocked(*worker);
--- a/modules/jobs/systems/MaintenanceSystem.h
+++ b/modules/jobs/systems/MaintenanceSystem.h
@@ -51,6 +51,13 @@
     void endDrains();
 
 private:
+    struct Drain {
+        VmId vm;
+        Instant since;
+    };
+
+    /// Ends the drains of VMs that are not part of the wave.
+    void endOtherDrains(const MaintenanceWave&);
     void drain(WorkerRow&, Instant since, Instant now);
     /// Gives up the drains that withhold room from long-running tasks, and that cannot go on while these are missing.
     void endBlockedDrains(Instant now);
@@ -63,8 +70,7 @@
     bool canStop(const Attempt&) const;
 
     JobTables& tables;
-    /// When the drain of each worker began.
-    std::unordered_map<WorkerId, Instant> drainStartedAt;
+    std::unordered_map<WorkerId, Drain> drains;
     std::unordered_map<WorkerId, Deadline> drainPausedUntil;
     std::vector<WorkerId> givenUp;
     /// Since when each long-running task without an attempt has waited.
--- a/modules/jobs/tests/SizingTests.cpp
+++ b/modules/jobs/tests/SizingTests.cpp
@@ -389,4 +389,21 @@
     BOOST_TEST(this->playWave(wave, [this] { return this->waitingTasks() == 0U; }));
 }
 
+/// Guards against a VM that stays drained because it is no longer part of the wave.
+BOOST_AUTO_TEST_CASE(theDrainOfAVmThatTheWaveNoLongerNamesEnds)
+{
+    MaintenanceWave wave;
+    wave.number = 1;
+    wave.dueBy = Deadline::after(this->now, Seconds(60));
+    for (const char* name : { "n0", "n1" })
+        this->addVm(name, "north");
+    wave.vms = { VmId("n0") };
+    this->maintenance.advance(wave, this->vms, {}, this->now);
+    const WorkerRow& worker = this->tables.workers.at(WorkerId("w-n0"));
+    BOOST_TEST(worker.isDrainOrdered);
+    wave.vms = { VmId("n1") };
+    this->maintenance.advance(wave, this->vms, {}, this->now);
+    BOOST_TEST(!worker.isDrainOrdered);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
