jobs: grow pools for long-running tasks that are kept apart

What callers saw: a long-running task waits for good, while the spare pool has VMs.

Cause: a waiting task counted as placeable if any worker of the pool had free capacity for it, also one that already has as many tasks of its step as the step allows there. The count of VMs by totals covers that only as far as the reserve of two VMs; the least number of workers for a step says nothing of whether they have room. In a pool whose memory is full but for the workers of the step, nothing grows. Together with a wave, the only room left is on the VMs that are being drained.

Evidence: Sizing/aPoolGrowsForATaskThatIsKeptApartFromThoseOnWorkersWithRoom (ten VMs, four of them full, nine tasks kept apart) failed before: no VM was ordered and three tasks waited.

Change: for long-running steps a worker at the limit takes no task, and the pool gets as many VMs more as the waiting tasks need by that limit.

--- a/modules/jobs/systems/PoolLoad.cpp
+++ b/modules/jobs/systems/PoolLoad.cpp
@@ -18,15 +18,17 @@
 }
 
 /// Whether no worker has free capacity for a task of the step, but one without tasks would have. Where processor time
-/// is what is missing, only long-running steps count, since others get it as tasks end. Another worker may not have the
-/// label that a step requires, so that such steps do not count.
-bool needsAnotherWorker(const StepSpec& step, const Workers& workers)
+/// or the limit of tasks per worker is what is missing, only long-running steps count, since others get it as tasks
+/// end. Another worker may not have the label that a step requires, so that such steps do not count.
+bool needsAnotherWorker(const StepSpec& step, const TaskName& task, const Workers& workers)
 {
     ResourceAmount demand = step.occupiedPerTask();
     bool hasProcessorTime = false;
     bool fitsInEmptyWorker = false;
     for (const auto* worker : workers) {
-        if (PlacementSystem::canHost(*worker, step))
+        bool isTaker = step.longRunning ? PlacementSystem::canTake(*worker, step, task)
+                                        : PlacementSystem::canHost(*worker, step);
+        if (isTaker)
             return false;
         std::int64_t freeCpu = worker->info.capacity.cpuMillis - worker->occupied.cpuMillis;
         hasProcessorTime = hasProcessorTime || demand.cpuMillis <= freeCpu;
@@ -38,7 +40,8 @@
 void addWaiting(
     PoolLoad& load, const Workers& workers, const JobTables& tables, const JobRow& job, std::int64_t nowUnixMs)
 {
-    for (const auto& occurrence : job.occurrences) {
+    for (std::uint32_t index = 0; index < job.occurrences.size(); ++index) {
+        const OccurrenceRow& occurrence = job.occurrences[index];
         for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
             std::uint32_t count = occurrence.steps[step].waitingCount();
             const StepSpec& spec = job.record.spec.steps[step];
@@ -49,8 +52,12 @@
                 continue;
             load.waiting += spec.demand * count;
             load.waitingTasks += count;
-            if (needsAnotherWorker(spec, workers))
-                load.unplaceable += spec.demand * count;
+            if (!needsAnotherWorker(spec, { job.record.id, index, step, 0 }, workers))
+                continue;
+            load.unplaceable += spec.demand * count;
+            if (spec.perWorkerLimit)
+                load.additionalWorkers
+                    = std::max(load.additionalWorkers, (count + spec.perWorkerLimit - 1) / spec.perWorkerLimit);
         }
     }
 }
--- a/modules/jobs/systems/PoolLoad.h
+++ b/modules/jobs/systems/PoolLoad.h
@@ -22,6 +22,8 @@
     std::size_t waitingTasks = 0;
     /// The part of it that only another worker could take, since the free capacity is spread over many workers.
     ResourceAmount unplaceable;
+    /// The number of workers that one step needs for this part at least, because of its limit of tasks per worker.
+    std::uint32_t additionalWorkers = 0;
     /// The largest number of workers that a step needs because of its limit of tasks per worker.
     std::uint32_t minimumWorkers = 0;
 
--- a/modules/jobs/systems/PoolSizing.cpp
+++ b/modules/jobs/systems/PoolSizing.cpp
@@ -113,7 +113,7 @@
     ResourceAmount expected = load.longRunning;
     expected.cpuMillis += arriving;
     std::int64_t forWork = std::max(vmsFor(load.occupied + load.waiting, vm), vmsFor(expected, vm)) + reserveVms;
-    if (auto additional = vmsFor(load.unplaceable, vm))
+    if (auto additional = std::max<std::int64_t>(vmsFor(load.unplaceable, vm), load.additionalWorkers))
         forWork = std::max(forWork, static_cast<std::int64_t>(load.workers) + additional);
     return std::max<std::int64_t>(forWork, load.minimumWorkers + 1);
 }
--- a/modules/jobs/tests/SizingTests.cpp
+++ b/modules/jobs/tests/SizingTests.cpp
@@ -406,4 +406,22 @@
     BOOST_TEST(!worker.isDrainOrdered);
 }
 
+/// Guards against a task kept apart from others of its step that waits for good: the workers with room have one each.
+BOOST_AUTO_TEST_CASE(aPoolGrowsForATaskThatIsKeptApartFromThoseOnWorkersWithRoom)
+{
+    for (int index = 0; index < 10; ++index)
+        this->addVm("n" + std::to_string(index), "north");
+    for (int index = 0; index < 8; ++index)
+        this->addVm("p" + std::to_string(index), "spare");
+    this->addJob("large", { memoryHeavyStep(4, 60'000) });
+    this->placeAndRun();
+    StepSpec apart = memoryHeavyStep(9, 10'000);
+    apart.perWorkerLimit = 1;
+    this->addJob("catalogue", { apart });
+    this->placeAndRun();
+    BOOST_TEST(movesTo(this->planMoves(), "north") == 3U);
+    this->settle();
+    BOOST_TEST(this->waitingTasks() == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
