jobs: let no failure prolong a quarantine

What callers saw: a long-running task stays away although a worker that is up has room for it; other tasks on that worker fail one after another.

Cause: each failure on a worker that had two before began the quarantine of 4 s anew. While it lasts nothing is started there, so the failures are those of tasks that were started before, and tell nothing new. Tasks that are to fail by themselves at different times hold a worker back for as long as they last; in a pool that is full elsewhere its room is the only one.

Evidence: Quarantines/tasksThatFailOneAfterAnotherKeepNoLongRunningTaskFromRunning failed before: 15.4 s without the task, with room for it all the while.

Change: a failure during a quarantine counts, but does not prolong it. Refusals of start orders, which pause a worker for 0.3 s, have a deadline of their own, so that they neither hide a failure nor end a quarantine sooner.

--- a/modules/coordinator/placing/OrderSender.h
+++ b/modules/coordinator/placing/OrderSender.h
@@ -266,7 +266,7 @@
                 return;
             if (attempt.phase == AttemptPhase::Ordered)
                 attempt.phase = AttemptPhase::Unanswered;
-            worker->quarantinedUntil = std::max(worker->quarantinedUntil, Deadline::after(now, refusalPause));
+            worker->pausedUntil = Deadline::after(now, refusalPause);
             return;
         }
         bool isRefusedByWorker = outcome != StartOutcome::NotSent && outcome != StartOutcome::Outdated
@@ -274,7 +274,7 @@
         if (outcome == StartOutcome::NoTicket)
             tables.dropTicket(order.task, order.worker);
         if (isRefusedByWorker)
-            worker->quarantinedUntil = std::max(worker->quarantinedUntil, Deadline::after(now, refusalPause));
+            worker->pausedUntil = Deadline::after(now, refusalPause);
         if (outcome == StartOutcome::NotSent)
             LeaseManager<Link>::suspect(*worker);
         tables.releaseAttempt(*worker, order.task, ReleaseReason::Refused, now);
--- a/modules/jobs/systems/PlacementSystem.cpp
+++ b/modules/jobs/systems/PlacementSystem.cpp
@@ -15,7 +15,7 @@
 bool PlacementSystem::acceptsTasks(const WorkerRow& worker, Instant now)
 {
     return worker.isListed && worker.isOnRoster && worker.isReached && !worker.isSuspect && !worker.isLeaving()
-        && worker.quarantinedUntil.hasPassed(now);
+        && worker.quarantinedUntil.hasPassed(now) && worker.pausedUntil.hasPassed(now);
 }
 
 bool PlacementSystem::hasLabel(const WorkerRow& worker, const std::string& label)
--- a/modules/jobs/systems/ReportSystem.cpp
+++ b/modules/jobs/systems/ReportSystem.cpp
@@ -104,7 +104,8 @@
     if (isKnown && attempt->second.isLongRunning && !this->isFailureOfWorker(attempt->second, now))
         return;
     worker.consecutiveFailures += 1;
-    if (worker.consecutiveFailures >= failuresBeforeQuarantine)
+    // Attempts that fail meanwhile were started before, so the worker has not been tried again yet.
+    if (worker.consecutiveFailures >= failuresBeforeQuarantine && worker.quarantinedUntil.hasPassed(now))
         worker.quarantinedUntil = Deadline::after(now, quarantineDuration);
 }
 
--- a/modules/jobs/tables/WorkerRow.h
+++ b/modules/jobs/tables/WorkerRow.h
@@ -47,8 +47,10 @@
     /// that workers grant, since orders carry times on the clock of the known one.
     Deadline longestLeaseExpires;
     Instant lastReport;
-    /// No new attempts are placed on the worker until then.
+    /// No new attempts are placed on the worker until then, because attempts on it have failed.
     Deadline quarantinedUntil;
+    /// The same, because it has refused a start order or left one unanswered.
+    Deadline pausedUntil;
     /// Failed attempts on the worker since the last one that was done.
     std::uint32_t consecutiveFailures = 0;
     /// A call to the worker got no answer. No attempt starts on it until it reports again.
--- a/modules/jobs/tests/QuarantineTests.cpp
+++ b/modules/jobs/tests/QuarantineTests.cpp
@@ -165,6 +165,25 @@
     BOOST_TEST(absent.count() <= longestAbsence.count());
 }
 
+/// Guards against a quarantine that each failure of a task started before it prolongs.
+BOOST_AUTO_TEST_CASE(tasksThatFailOneAfterAnotherKeepNoLongRunningTaskFromRunning)
+{
+    WorkerRow& worker = this->addWorker("n1");
+    this->addJob("poison", { step(7, 1000) });
+    this->placeAndRun();
+    for (std::uint32_t index = 0; index < 2; ++index)
+        this->end(task("poison", 0, index), EndKind::Failed);
+    BOOST_REQUIRE(!PlacementSystem::acceptsTasks(worker, this->now));
+    this->addLasting("web");
+    auto endOf = [this](const WorkerRow&, const Attempt& attempt) -> std::optional<EndKind> {
+        Milliseconds life(1900 * attempt.task.index);
+        bool hasFailed = !attempt.isLongRunning && this->age(attempt) >= life;
+        return hasFailed ? std::optional(EndKind::Failed) : std::nullopt;
+    };
+    Milliseconds absent = this->play(Seconds(20), endOf, [](const TaskName&) { return true; });
+    BOOST_TEST(absent.count() <= longestAbsence.count());
+}
+
 /// Guards against a long-running task that goes back to the worker on which it has just failed.
 BOOST_AUTO_TEST_CASE(aLongRunningTaskThatFailedGoesToAnotherWorker)
 {
