jobs: let long-running tasks start on a quarantined worker if no other has room

What callers saw: a long-running task stays away beside a worker that is up and has room for it.

Change: a worker in quarantine is the last choice for long-running tasks. All other tasks wait for its end as before, and so does every task for the end of the pause after a refusal.

--- a/modules/coordinator/placing/OrderSender.h
+++ b/modules/coordinator/placing/OrderSender.h
@@ -60,12 +60,14 @@
             if (attempt.phase != AttemptPhase::Recording)
                 return;
             orders.push_back({ worker.info.id, attempt.task, attempt.run });
-            if (job.record.spec.steps[attempt.task.step].gang && !this->maySend(worker, now))
+            const StepSpec& step = job.record.spec.steps[attempt.task.step];
+            if (step.gang && !this->maySend(worker, step, now))
                 brokenGangs.emplace(attempt.task.occurrence, attempt.task.step);
         });
         for (const auto& order : orders) {
             WorkerRow& worker = this->tables.workers.at(order.worker);
-            if (this->maySend(worker, now) && !brokenGangs.contains({ order.task.occurrence, order.task.step }))
+            const StepSpec& step = job.record.spec.steps[order.task.step];
+            if (this->maySend(worker, step, now) && !brokenGangs.contains({ order.task.occurrence, order.task.step }))
                 this->start(order, now);
             else
                 this->tables.releaseAttempt(worker, order.task, ReleaseReason::NotOrdered, now);
@@ -138,9 +140,9 @@
             && attempt.nextStartOrder.hasPassed(now) && !attempt.orderExpires.hasPassed(now);
     }
 
-    bool maySend(const WorkerRow& worker, Instant now) const
+    bool maySend(const WorkerRow& worker, const StepSpec& step, Instant now) const
     {
-        return this->handlers.mayAct(now) && PlacementSystem::acceptsTasks(worker, now);
+        return this->handlers.mayAct(now) && PlacementSystem::mayStart(worker, step.longRunning, now);
     }
 
     void start(const StartOrder& order, Instant now)
--- a/modules/jobs/systems/PlacementSystem.cpp
+++ b/modules/jobs/systems/PlacementSystem.cpp
@@ -13,9 +13,14 @@
 namespace Greengage {
 
 bool PlacementSystem::acceptsTasks(const WorkerRow& worker, Instant now)
+{
+    return PlacementSystem::mayStart(worker, true, now) && worker.quarantinedUntil.hasPassed(now);
+}
+
+bool PlacementSystem::mayStart(const WorkerRow& worker, bool isLongRunning, Instant now)
 {
     return worker.isListed && worker.isOnRoster && worker.isReached && !worker.isSuspect && !worker.isLeaving()
-        && worker.quarantinedUntil.hasPassed(now) && worker.pausedUntil.hasPassed(now);
+        && worker.pausedUntil.hasPassed(now) && (isLongRunning || worker.quarantinedUntil.hasPassed(now));
 }
 
 bool PlacementSystem::hasLabel(const WorkerRow& worker, const std::string& label)
@@ -79,6 +84,8 @@
     for (auto& [id, worker] : this->tables.workers) {
         if (acceptsTasks(worker, now))
             pools[worker.info.pool].workers.push_back(&worker);
+        else if (mayStart(worker, true, now))
+            pools[worker.info.pool].quarantined.push_back(&worker);
     }
     this->markTeamsOverShare(candidates);
     std::sort(candidates.begin(), candidates.end(), [](const Candidate& left, const Candidate& right) {
@@ -184,6 +191,8 @@
             return;
         TaskName name { job.record.id, occurrence, step, index };
         WorkerRow* worker = this->chooseFromPool(job, name, pool);
+        if (!worker && spec.longRunning)
+            worker = this->chooseWorker(job, name, pool.quarantined);
         if (!worker)
             return;
         this->planAttempt(job, name, *worker, std::max(this->tables.lowestRun, tasks[index].run + 1));
--- a/modules/jobs/systems/PlacementSystem.h
+++ b/modules/jobs/systems/PlacementSystem.h
@@ -46,6 +46,9 @@
     /// Whether the worker accepts new tasks.
     static bool acceptsTasks(const WorkerRow&, Instant now);
 
+    /// Whether a task may start on the worker: one in quarantine takes long-running tasks that no other worker can.
+    static bool mayStart(const WorkerRow&, bool isLongRunning, Instant now);
+
     /// Whether the worker has the free capacity and the label for one task of the step.
     static bool canHost(const WorkerRow&, const StepSpec&);
 
@@ -64,6 +67,8 @@
     /// The workers of a pool that accept tasks, and the demands for which none of them had free capacity in this tick.
     struct Pool {
         Workers workers;
+        /// Those that would accept tasks, but for a quarantine.
+        Workers quarantined;
         std::vector<ResourceAmount> unplaceableDemands;
     };
 
--- a/modules/jobs/tests/QuarantineTests.cpp
+++ b/modules/jobs/tests/QuarantineTests.cpp
@@ -34,7 +34,7 @@
                 attempt.isAnswered = true;
                 attempt.isListed = true;
                 attempt.orderedAt = this->now;
-                if (!PlacementSystem::acceptsTasks(worker, this->now))
+                if (!PlacementSystem::mayStart(worker, attempt.isLongRunning, this->now))
                     refused.push_back(task);
             }
             for (const auto& task : refused)
@@ -231,6 +231,20 @@
     BOOST_TEST(PlacementSystem::acceptsTasks(worker, this->now));
 }
 
+/// Guards against a long-running task that waits beside the only room there is: the worker is quarantined, and what
+/// failed on it has made the room.
+BOOST_AUTO_TEST_CASE(aLongRunningTaskThatNoOtherWorkerCanTakeStartsInAQuarantine)
+{
+    WorkerRow& worker = this->addWorker("n1", "north", 4000);
+    this->addWorker("n2", "north", 500);
+    worker.quarantinedUntil = Deadline::after(this->now, ReportSystem::quarantineDuration);
+    this->addJob("j", { step(1, 1000) });
+    this->addLasting("web");
+    this->place();
+    BOOST_TEST((this->tables.findTask(task("web", 0, 0))->phase == TaskPhase::Active));
+    BOOST_TEST((this->tables.findTask(task("j", 0, 0))->phase == TaskPhase::Waiting));
+}
+
 /// The same if the tasks of other jobs fail there.
 BOOST_AUTO_TEST_CASE(aWorkerOnWhichAllTasksFailIsQuarantinedAgainAndAgain)
 {
