--- a/modules/jobs/systems/MaintenanceSystem.cpp
+++ b/modules/jobs/systems/MaintenanceSystem.cpp
@@ -1,16 +1,19 @@
 #include <jobs/systems/MaintenanceSystem.h>
 
 #include <jobs/model/MaintenanceWave.h>
+#include <jobs/systems/PlacementSystem.h>
 #include <jobs/tables/JobTables.h>
 
 #include <algorithm>
 #include <tuple>
+#include <utility>
 
 namespace Greengage {
 
 std::vector<VmId> MaintenanceSystem::advance(const MaintenanceWave& wave, const std::map<VmId, VmInfo>& vms,
     const std::map<VmId, Deadline>& mayBeDown, Instant now)
 {
+    this->endOtherDrains(wave);
     struct Candidate {
         bool isDraining;
         std::size_t attempts;
@@ -42,7 +45,7 @@
                 this->endDrain(*worker);
             continue;
         }
-        if (worker && worker->isMoveOrdered)
+        if (worker && (worker->isMoveOrdered || this->isDrainPaused(*worker, now)))
             continue;
         bool isDraining = worker && worker->isDrainOrdered;
         candidates.push_back({ isDraining, worker ? worker->attempts.size() : 0, id, worker });
@@ -65,28 +68,41 @@
         unavailable += 1;
         if (candidate.worker) {
             candidate.worker->isDrainOrdered = true;
-            Instant since = this->drainStartedAt.try_emplace(candidate.worker->info.id, now).first->second;
-            this->drain(*candidate.worker, since, now);
+            const auto& drain
+                = this->drains.try_emplace(candidate.worker->info.id, Drain { candidate.vm, now }).first->second;
+            this->drain(*candidate.worker, drain.since, now);
             if (!candidate.worker->attempts.empty())
                 continue;
         }
         ready.push_back(candidate.vm);
     }
+    this->endBlockedDrains(now);
     return ready;
 }
 
 void MaintenanceSystem::endDrains()
 {
-    for (const auto& [id, since] : this->drainStartedAt) {
+    for (const auto& [id, drain] : this->drains) {
         if (auto* worker = this->tables.findWorker(id))
             worker->isDrainOrdered = false;
     }
-    this->drainStartedAt.clear();
+    this->drains.clear();
+}
+
+void MaintenanceSystem::endOtherDrains(const MaintenanceWave& wave)
+{
+    std::erase_if(this->drains, [&](const auto& entry) {
+        if (std::find(wave.vms.begin(), wave.vms.end(), entry.second.vm) != wave.vms.end())
+            return false;
+        if (auto* worker = this->tables.findWorker(entry.first))
+            worker->isDrainOrdered = false;
+        return true;
+    });
 }
 
 void MaintenanceSystem::endDrain(WorkerRow& worker)
 {
-    if (this->drainStartedAt.erase(worker.info.id))
+    if (this->drains.erase(worker.info.id))
         worker.isDrainOrdered = false;
 }
 
@@ -101,6 +117,74 @@
     }
 }
 
+void MaintenanceSystem::endBlockedDrains(Instant now)
+{
+    this->givenUp.clear();
+    auto earlier = std::exchange(this->waitingSince, {});
+    for (const auto& [id, job] : this->tables.jobs) {
+        if (job.hasEnded() || !job.record.spec.steps.front().longRunning)
+            continue;
+        TaskName name { id };
+        for (name.occurrence = 0; name.occurrence < job.occurrences.size(); ++name.occurrence) {
+            const auto& steps = job.occurrences[name.occurrence].steps;
+            for (name.step = 0; name.step < steps.size(); ++name.step) {
+                if (steps[name.step].readyAt && steps[name.step].waitingCount())
+                    this->endBlockedDrainsFor(job, name, steps[name.step], earlier, now);
+            }
+        }
+    }
+}
+
+void MaintenanceSystem::endBlockedDrainsFor(const JobRow& job, const TaskName& step, const StepRow& row,
+    const std::map<TaskName, Instant>& earlierWaitingSince, Instant now)
+{
+    TaskName name = step;
+    for (name.index = 0; name.index < row.tasks.size(); ++name.index) {
+        if (row.tasks[name.index].phase != TaskPhase::Waiting)
+            continue;
+        auto found = earlierWaitingSince.find(name);
+        Instant since = found == earlierWaitingSince.end() ? now : found->second;
+        this->waitingSince.emplace(name, since);
+        if (now - since >= longestWaitForDrain)
+            this->endBlockedDrainFor(job, name, now);
+    }
+}
+
+void MaintenanceSystem::endBlockedDrainFor(const JobRow& job, const TaskName& task, Instant now)
+{
+    const StepSpec& step = job.record.spec.steps[task.step];
+    const QueuePolicy* queue = this->tables.policyOf(job);
+    if (!queue || !this->tables.isWithinMaximum(job, step.demand))
+        return;
+    WorkerRow* blocked = nullptr;
+    for (const auto& [id, drain] : this->drains) {
+        WorkerRow* worker = this->tables.findWorker(id);
+        bool isCandidate = worker && worker->isDrainOrdered && worker->info.pool == queue->pool
+            && PlacementSystem::canTake(*worker, step, task) && this->isBlocked(*worker);
+        if (isCandidate && (!blocked || worker->attempts.size() > blocked->attempts.size()))
+            blocked = worker;
+    }
+    if (!blocked)
+        return;
+    this->drainPausedUntil[blocked->info.id] = Deadline::after(now, drainPause);
+    this->givenUp.push_back(blocked->info.id);
+    this->endDrain(*blocked);
+}
+
+bool MaintenanceSystem::isBlocked(const WorkerRow& worker) const
+{
+    return std::any_of(worker.attempts.begin(), worker.attempts.end(), [this](const auto& entry) {
+        const Attempt& attempt = entry.second;
+        return attempt.isLongRunning && attempt.phase == AttemptPhase::Running && !this->canStop(attempt);
+    });
+}
+
+bool MaintenanceSystem::isDrainPaused(const WorkerRow& worker, Instant now) const
+{
+    auto found = this->drainPausedUntil.find(worker.info.id);
+    return found != this->drainPausedUntil.end() && !found->second.hasPassed(now);
+}
+
 bool MaintenanceSystem::canStop(const Attempt& attempt) const
 {
     const StepSpec* step = this->tables.findStep(attempt.task);
--- a/modules/jobs/systems/PlacementSystem.h
+++ b/modules/jobs/systems/PlacementSystem.h
@@ -46,9 +46,15 @@
     /// Whether the worker accepts new tasks.
     static bool acceptsTasks(const WorkerRow&, Instant now);
 
+    /// Whether a task may start on the worker: one in quarantine takes long-running tasks that no other worker can.
+    static bool mayStart(const WorkerRow&, bool isLongRunning, Instant now);
+
     /// Whether the worker has the free capacity and the label for one task of the step.
     static bool canHost(const WorkerRow&, const StepSpec&);
 
+    /// The same for this task of the step, within the step's limit of tasks per worker.
+    static bool canTake(const WorkerRow&, const StepSpec&, const TaskName&);
+
     static bool hasLabel(const WorkerRow&, const std::string& label);
 
     /// How many attempts of the task's step the worker has.
@@ -61,6 +67,8 @@
     /// The workers of a pool that accept tasks, and the demands for which none of them had free capacity in this tick.
     struct Pool {
         Workers workers;
+        /// Those that would accept tasks, but for a quarantine.
+        Workers quarantined;
         std::vector<ResourceAmount> unplaceableDemands;
     };
 
