jobs: let no drain withhold room for seconds from a task that has waited

What callers saw: a long-running task stays away beside a worker that is up and has room for it, while a maintenance wave goes on in a full pool.

Cause: a drain stops long-running tasks at once, and gives others 4 s to end. For these 4 s the VM has room that a long-running task, which has waited in the full pool for a while, must get within 3 s. The limit for drains that are held up began only with the wait of the task, not with the drain, and gave up drains that had just begun.

Evidence: Sizing/aDrainWithholdsRoomFromNoLongRunningTaskForThreeSeconds failed before.

Change: a drain that withholds room from a long-running task that has waited for 4 s stops other tasks after 1 s, so that the VM is taken down, and is given up after 2 s if it is held up.

--- a/modules/jobs/systems/MaintenanceSystem.cpp
+++ b/modules/jobs/systems/MaintenanceSystem.cpp
@@ -70,13 +70,13 @@
             candidate.worker->isDrainOrdered = true;
             const auto& drain
                 = this->drains.try_emplace(candidate.worker->info.id, Drain { candidate.vm, now }).first->second;
-            this->drain(*candidate.worker, drain.since, now);
+            this->drain(*candidate.worker, drain, now);
             if (!candidate.worker->attempts.empty())
                 continue;
         }
         ready.push_back(candidate.vm);
     }
-    this->endBlockedDrains(now);
+    this->limitDrains(now);
     return ready;
 }
 
@@ -106,9 +106,9 @@
         worker.isDrainOrdered = false;
 }
 
-void MaintenanceSystem::drain(WorkerRow& worker, Instant since, Instant now)
+void MaintenanceSystem::drain(WorkerRow& worker, const Drain& drain, Instant now)
 {
-    bool isOverdue = now - since >= drainTimeout;
+    bool isOverdue = now - drain.since >= (drain.isUrgent ? urgentDrainTimeout : drainTimeout);
     for (auto& [task, attempt] : worker.attempts) {
         if (attempt.phase != AttemptPhase::Running)
             continue;
@@ -117,7 +117,7 @@
     }
 }
 
-void MaintenanceSystem::endBlockedDrains(Instant now)
+void MaintenanceSystem::limitDrains(Instant now)
 {
     this->givenUp.clear();
     auto earlier = std::exchange(this->waitingSince, {});
@@ -129,13 +129,13 @@
             const auto& steps = job.occurrences[name.occurrence].steps;
             for (name.step = 0; name.step < steps.size(); ++name.step) {
                 if (steps[name.step].readyAt && steps[name.step].waitingCount())
-                    this->endBlockedDrainsFor(job, name, steps[name.step], earlier, now);
+                    this->limitDrainsFor(job, name, steps[name.step], earlier, now);
             }
         }
     }
 }
 
-void MaintenanceSystem::endBlockedDrainsFor(const JobRow& job, const TaskName& step, const StepRow& row,
+void MaintenanceSystem::limitDrainsFor(const JobRow& job, const TaskName& step, const StepRow& row,
     const std::map<TaskName, Instant>& earlierWaitingSince, Instant now)
 {
     TaskName name = step;
@@ -146,22 +146,26 @@
         Instant since = found == earlierWaitingSince.end() ? now : found->second;
         this->waitingSince.emplace(name, since);
         if (now - since >= longestWaitForDrain)
-            this->endBlockedDrainFor(job, name, now);
+            this->limitDrainsFor(job, name, now);
     }
 }
 
-void MaintenanceSystem::endBlockedDrainFor(const JobRow& job, const TaskName& task, Instant now)
+void MaintenanceSystem::limitDrainsFor(const JobRow& job, const TaskName& task, Instant now)
 {
     const StepSpec& step = job.record.spec.steps[task.step];
     const QueuePolicy* queue = this->tables.policyOf(job);
     if (!queue || !this->tables.isWithinMaximum(job, step.demand))
         return;
     WorkerRow* blocked = nullptr;
-    for (const auto& [id, drain] : this->drains) {
+    for (auto& [id, drain] : this->drains) {
         WorkerRow* worker = this->tables.findWorker(id);
-        bool isCandidate = worker && worker->isDrainOrdered && worker->info.pool == queue->pool
-            && PlacementSystem::canTake(*worker, step, task) && this->isBlocked(*worker);
-        if (isCandidate && (!blocked || worker->attempts.size() > blocked->attempts.size()))
+        bool withholdsRoom = worker && worker->isDrainOrdered && worker->info.pool == queue->pool
+            && PlacementSystem::canTake(*worker, step, task);
+        if (!withholdsRoom)
+            continue;
+        drain.isUrgent = true;
+        bool isBlocked = now - drain.since >= blockedDrainTimeout && this->isBlocked(*worker);
+        if (isBlocked && (!blocked || worker->attempts.size() > blocked->attempts.size()))
             blocked = worker;
     }
     if (!blocked)
--- a/modules/jobs/systems/MaintenanceSystem.h
+++ b/modules/jobs/systems/MaintenanceSystem.h
@@ -27,9 +27,13 @@
     /// While the wave is not late, at most one VM in this many of a pool is unavailable at a time, but always at least
     /// one.
     static constexpr std::size_t poolDivisor = 3;
-    /// A long-running task that has waited this long gets back the room that a drain withholds from it, unless the VM
-    /// is about to be empty.
+    /// From a long-running task that has waited this long, no drain withholds room for more than a moment: it is
+    /// finished sooner, or given up.
     static constexpr Milliseconds longestWaitForDrain { 4000 };
+    /// The timeout of such a drain for tasks that have not ended.
+    static constexpr Milliseconds urgentDrainTimeout { 1000 };
+    /// Such a drain is given up after this time if it waits for long-running tasks that may not be stopped now.
+    static constexpr Milliseconds blockedDrainTimeout { 2000 };
     /// How long a VM whose drain was given up is not drained again.
     static constexpr Milliseconds drainPause { 8000 };
 
@@ -54,16 +58,17 @@
     struct Drain {
         VmId vm;
         Instant since;
+        bool isUrgent = false;
     };
 
     /// Ends the drains of VMs that are not part of the wave.
     void endOtherDrains(const MaintenanceWave&);
-    void drain(WorkerRow&, Instant since, Instant now);
-    /// Gives up the drains that withhold room from long-running tasks, and that cannot go on while these are missing.
-    void endBlockedDrains(Instant now);
-    void endBlockedDrainsFor(const JobRow&, const TaskName& step, const StepRow&,
+    void drain(WorkerRow&, const Drain&, Instant now);
+    /// Speeds up or gives up the drains that withhold room from long-running tasks.
+    void limitDrains(Instant now);
+    void limitDrainsFor(const JobRow&, const TaskName& step, const StepRow&,
         const std::map<TaskName, Instant>& earlierWaitingSince, Instant now);
-    void endBlockedDrainFor(const JobRow&, const TaskName&, Instant now);
+    void limitDrainsFor(const JobRow&, const TaskName&, Instant now);
     bool isBlocked(const WorkerRow&) const;
     bool isDrainPaused(const WorkerRow&, Instant now) const;
     void endDrain(WorkerRow&);
--- a/modules/jobs/tests/SizingTests.cpp
+++ b/modules/jobs/tests/SizingTests.cpp
@@ -389,6 +389,30 @@
     BOOST_TEST(this->playWave(wave, [this] { return this->waitingTasks() == 0U; }));
 }
 
+/// Guards against a drain whose VM has room, while tasks on it get time to end, for a long-running task that has waited
+/// for long.
+BOOST_AUTO_TEST_CASE(aDrainWithholdsRoomFromNoLongRunningTaskForThreeSeconds)
+{
+    for (const char* name : { "n0", "n1" })
+        this->addVm(name, "north");
+    this->addJob("catalogue", { memoryHeavyStep(4, 30'000) });
+    this->placeAndRun();
+    this->addJob("late", { memoryHeavyStep(1, 30'000) });
+    this->addJob("burst", { step(1, 100) });
+    this->placeAndRun();
+    BOOST_REQUIRE(this->waitingTasks() == 1U);
+    WorkerRow& worker = this->tables.workers.at(this->tables.findTask(task("burst", 0, 0))->worker);
+    MaintenanceWave wave;
+    wave.number = 1;
+    wave.dueBy = Deadline::after(this->now, Seconds(60));
+    wave.vms = { VmId("elsewhere") };
+    this->playWave(wave, [] { return false; });
+    wave.vms = { VmId(worker.info.id.string().substr(2)) };
+    Instant begin = this->now;
+    BOOST_TEST(this->playWave(wave, [&] { return worker.attempts.empty(); }));
+    BOOST_TEST((this->now - begin < Seconds(3)));
+}
+
 /// Guards against a VM that stays drained because it is no longer part of the wave.
 BOOST_AUTO_TEST_CASE(theDrainOfAVmThatTheWaveNoLongerNamesEnds)
 {
