fleet: a row without its VM hides no end on a VM that is listed

What callers would see: while one row of the listing does not show its VM, the tasks of all ended workers wait for their leases again (LOST in a chain of leaders).

Cause: such a row made the whole listing prove nothing. A worker stays on its VM, so if a readable row shows that VM, no other row can be the worker's. If the VM is not listed, or not known, the listing proves nothing as before.

Test: aRowWithoutAVmHidesNoEndOnAVmThatIsListed failed before in its first check and holds now; its other two checks and the remaining cases of suite UnreadableRows, with one more for a VM that is listed twice, held before and hold now.

--- a/modules/coordinator/fleet/FleetView.cpp
+++ b/modules/coordinator/fleet/FleetView.cpp
@@ -48,9 +48,12 @@
 
 bool FleetView::Listing::showsEndOf(const WorkerId& worker, const VmId& home) const
 {
-    if (!this->areAllNamed || this->vms.empty() || this->workers.contains(worker))
+    if (this->vms.empty() || this->workers.contains(worker))
         return false;
-    return this->unreadable.empty() || (!home.isEmpty() && !this->unreadable.contains(home));
+    if (this->areAllNamed && this->unreadable.empty())
+        return true;
+    // A worker stays on its VM, so that no other row can be that of its VM once it is listed.
+    return !home.isEmpty() && !this->unreadable.contains(home) && (this->areAllNamed || this->vms.contains(home));
 }
 
 } // namespace Greengage
--- a/modules/coordinator/fleet/FleetView.h
+++ b/modules/coordinator/fleet/FleetView.h
@@ -34,8 +34,8 @@
 
     /// Whether the worker has ended with its VM: two listings in a row that were requested after `since` show no VM on
     /// which it runs. A worker that is only cut off stays listed. A listing without VMs tells nothing, and neither does
-    /// one with a VM that could not be read, unless earlier ones showed the worker on another VM: a worker stays on its
-    /// VM.
+    /// one with a row that could not be read, unless that row is certainly not the one of the VM on which earlier
+    /// listings showed the worker: a worker stays on its VM.
     bool hasWorkerEnded(const WorkerId&, Instant since) const;
 
 private:
--- a/modules/coordinator/tests/FleetTests.cpp
+++ b/modules/coordinator/tests/FleetTests.cpp
@@ -106,9 +106,18 @@
     BOOST_TEST(!hasEnded({ { row("m1", "w1"), row("m2", "w1") } }, this->otherUnreadable));
     BOOST_TEST(!hasEnded({ this->both, { row("m1", ""), row("m2", "w1") }, this->both }, this->otherUnreadable));
     BOOST_TEST(!hasEnded({ this->both }, { row("m1", ""), row("m1", "", false), row("m2", "w2") }));
+    BOOST_TEST(!hasEnded({ this->both }, { row("m1", "w1"), row("m1", ""), row("m2", "w2") }));
 }
 
-/// Guards against the same with a row that does not even show of which VM it is.
+/// Guards against a row without a VM that keeps the ends of all workers from being seen.
+BOOST_AUTO_TEST_CASE(aRowWithoutAVmHidesNoEndOnAVmThatIsListed)
+{
+    BOOST_TEST(hasEnded({ this->both }, { row("m1", ""), row("m2", "w2"), row("", "", false) }));
+    BOOST_TEST(!hasEnded({ this->both }, { row("m1", "", false), row("m2", "w2"), row("", "", false) }));
+    BOOST_TEST(!hasEnded({}, { row("m1", ""), row("m2", "w2"), row("", "", false) }));
+}
+
+/// Guards against a task that runs twice: a row that does not show its VM may be that of the worker.
 BOOST_AUTO_TEST_CASE(aRowWithoutAVmMayHideAnyWorkerAndAnyVm)
 {
     std::vector<VmInfo> nameless { row("", "", false), row("m2", "w2") };
