coordinator: ends are not acknowledged while a start order may have reached another incarnation

What callers could see: a task starts again after it was done (TWICE). A worker restarts under its id while no call is under way to it, which is for up to 0.3 s after a report, carries out a start order and ends the task. The next renewal acknowledged the ends of the former incarnation by number, and the new one forgot its own end, which nobody had read.

Cause: numbers of ends say nothing of the incarnation that counts them, and no call names the incarnation it is meant for. But only an incarnation that got a start order has ends. A renewal acknowledges none now while an order may have gone to an incarnation of which no report has told: while an attempt on the worker has been ordered and not listed, or has been ordered more than once within the longest lease. The answer lists what was started, so the next renewal, sent at once, acknowledges. If that answer does not settle it, reports are asked for every 25 ms, since ends that are not acknowledged are answered without a wait.

Cost: one more renewal for each report of ends that is followed by a start on the same worker before its ends are stored.

Not covered: a renewal, or a second copy of an order of an earlier leader, that the network holds up until the next incarnation has ends.

Test: endsOfAnIncarnationThatNoCallHasShownAreNotForgottenUnread failed before (the end was acknowledged unread and the task ran a second time), and holds now; suites WorkerRestarts and UnreadableRows, 25 cases, no failure.

--- a/modules/coordinator/placing/LeaseManager.h
+++ b/modules/coordinator/placing/LeaseManager.h
@@ -190,6 +190,8 @@
     static constexpr Milliseconds longestRecordWait { 300 };
     /// Delay before a report is requested again while jobs and workers are still being loaded.
     static constexpr Milliseconds incompleteRetry { 25 };
+    /// Delay before a report is requested again that lists ends which cannot be acknowledged yet.
+    static constexpr Milliseconds unacknowledgedPause { 25 };
     /// A call to a worker is given up after less than this time, and reaches it until then.
     static constexpr Milliseconds longestCall { 500 };
     static constexpr Milliseconds unreadableLinePeriod { 10'000 };
@@ -223,8 +225,8 @@
     {
         RenewLease order;
         order.fencingToken = this->tokenFor(worker);
-        // A worker that did not answer may have started again, with ends of its own under the same numbers.
-        order.storedEnds = worker.isSuspect ? 0 : worker.storedEnds;
+        // A worker that may have started again may have ends of its own under the same numbers.
+        order.storedEnds = worker.isSuspect || this->mayHaveUnreadEnds(worker, now) ? 0 : worker.storedEnds;
         // The lease of an unresponsive worker is not extended, so that its attempts are released in bounded time.
         if (worker.isReached && !worker.isSuspect) {
             order.leaseUntilClockMs = this->clockOf(worker, now) + this->leaseDuration.count();
@@ -242,6 +244,20 @@
             });
     }
 
+    /// Whether an incarnation of the worker of which no report has told may have carried out a start order, so that it
+    /// may have ends that nobody has read.
+    bool mayHaveUnreadEnds(const WorkerRow& worker, Instant now) const
+    {
+        Instant latest = now - LeaseManager::longestLease(this->leaseDuration);
+        auto mayStartAgain = [latest](const auto& entry) {
+            const Attempt& attempt = entry.second;
+            bool mayBeUnderWay = !attempt.isListed || (attempt.startOrdersSent > 1 && attempt.orderedAt > latest);
+            return attempt.mayHaveBeenSent() && mayBeUnderWay;
+        };
+        return std::any_of(worker.attempts.begin(), worker.attempts.end(), mayStartAgain)
+            || std::any_of(worker.orphans.begin(), worker.orphans.end(), mayStartAgain);
+    }
+
     static bool hasAttemptsInDoubt(const WorkerRow& worker)
     {
         auto isInDoubt = [](const auto& entry) { return entry.second.isInDoubt(); };
@@ -301,9 +317,11 @@
         if (renewal.failures)
             writeLog(LogLevel::Info, LogLine("lease_renewal_recovered").add("worker", id.string()));
         renewal.failures = 0;
-        renewal.next = Deadline();
         worker->isSuspect = false;
         this->applyReport(*worker, report, sentAt, now);
+        // Ends that cannot be acknowledged yet keep answers from waiting for others.
+        bool isAnsweredAtOnce = !report.ended.empty() && this->mayHaveUnreadEnds(*worker, now);
+        renewal.next = isAnsweredAtOnce ? Deadline::after(now, unacknowledgedPause) : Deadline();
         this->handlers.onChange();
     }
 
--- a/modules/coordinator/tests/WorkerRestartTests.cpp
+++ b/modules/coordinator/tests/WorkerRestartTests.cpp
@@ -102,6 +102,26 @@
     BOOST_TEST(this->workers.startedTwice.empty());
 }
 
+/// Guards against the same if the worker restarts while no call is under way to it.
+BOOST_AUTO_TEST_CASE(endsOfAnIncarnationThatNoCallHasShownAreNotForgottenUnread)
+{
+    this->workers.lengthOf = [](const TaskName& task) { return Milliseconds(task.step == 0 ? 200 : 0); };
+    JobRecord chain = this->job("j", 1);
+    chain.spec.steps.push_back(chain.spec.steps.front());
+    chain.spec.steps.back().after = { 0 };
+    this->submit(*this->first, chain);
+    BOOST_REQUIRE(this->runUntil([this] { return this->workers.starts == 2U; }));
+    WorkerId id = this->busiestWorker();
+    auto& worker = this->workers.workers[id];
+    std::uint64_t reported = worker.reportedEnds;
+    BOOST_REQUIRE(this->runUntil([&] { return worker.reportedEnds > reported; }));
+    this->workers.restart(id);
+    BOOST_TEST(this->runUntil([this] { return this->isCompleted("j"); }));
+    BOOST_TEST(this->workers.acknowledgedUnread.empty());
+    BOOST_TEST(this->workers.startedTwice.empty());
+    BOOST_TEST(this->workers.starts == 3U);
+}
+
 /// Guards against the same when the restart is seen in a report, before the entry is written.
 BOOST_AUTO_TEST_CASE(tasksAreNotStartedElsewhereIfAReportShowsTheRestart)
 {
