coordinator: bind inherited tasks before the first report is applied

Cause: a report that arrived after all jobs and workers were known, and before the next tick, was applied before the inherited placements were restored. Its attempts were adopted, as if nobody had stored them, and the placements skipped. So the stored fact that their only start orders had been carried out was lost, and each next leader waited for these orders once the worker had ended.

Why it works: whatever applies a report first asks whether all is known, and the placements are restored then.

--- a/modules/coordinator/placing/Coordinator.h
+++ b/modules/coordinator/placing/Coordinator.h
@@ -209,7 +209,7 @@
                   Deadline::after(BootClock::now(), owner.limits.unfencedOrderDelay), owner.limits.unfencedOrderDelay,
                   owner.publishWave)
             , leases(owner.link, tables, owner.limits.leaseDuration, owner.limits.longestGrantedLease,
-                  { [&owner] { return owner.leadership.latestToken(); }, [this] { return this->isComplete(); },
+                  { [&owner] { return owner.leadership.latestToken(); }, [this] { return this->prepareForReports(); },
                       [&owner] { owner.scheduleTick(); }, [&owner] { owner.handleFenced(); } })
             , orders(owner.link, leases, tables,
                   { [&owner](Instant now) { return owner.leadership.mayAct(now); }, [&owner] { owner.scheduleTick(); },
@@ -251,6 +251,16 @@
             return this->loader.isLoaded() && this->areWorkersListed && this->workerRoster.isLoaded();
         }
 
+        /// Binds inherited tasks to their workers before a report is applied: it would adopt the attempts, and what the
+        /// last leader had stored of their starts would be lost. Returns whether reports can be applied.
+        bool prepareForReports()
+        {
+            if (!this->isComplete())
+                return false;
+            this->loader.restorePlacements(BootClock::now());
+            return true;
+        }
+
         Deadline nextFlush;
         Deadline nextPoolLog;
     };
--- a/modules/coordinator/placing/LeaseManager.h
+++ b/modules/coordinator/placing/LeaseManager.h
@@ -29,8 +29,9 @@
     struct Handlers {
         /// The highest fencing token that this leader may use now.
         std::function<std::int64_t()> latestToken;
-        /// Whether all jobs and workers are known, so that orphaned attempts can be recognised in a report.
-        std::function<bool()> isComplete;
+        /// Called before a report is applied. Returns whether all jobs, workers and inherited attempts are known, so
+        /// that orphaned attempts can be recognised in it.
+        std::function<bool()> prepareForReports;
         /// The job tables have changed.
         std::function<void()> onChange;
         /// A worker has seen a higher fencing token.
@@ -308,7 +309,7 @@
             return;
         Renewal& renewal = found->second;
         renewal.isUnderWay = false;
-        if (!this->handlers.isComplete()) {
+        if (!this->handlers.prepareForReports()) {
             // Before all jobs and workers are loaded, attempts of jobs that are not loaded yet would look orphaned.
             renewal.next = Deadline::after(BootClock::now(), incompleteRetry);
             return;
--- a/tests/takeovers/HandOverTests.cpp
+++ b/tests/takeovers/HandOverTests.cpp
@@ -190,6 +190,27 @@
     BOOST_TEST(played > 0U);
 }
 
+/// Guards against a next leader that adopts the attempts which the last one had stored, and takes their starts for
+/// unsettled.
+BOOST_AUTO_TEST_CASE(theNextLeaderKnowsWhichStartsWereCarriedOut)
+{
+    std::size_t played = playSeeds([](HandOver& handOver) {
+        ModelWorld& world = handOver.world;
+        world.submitJob(5);
+        world.runFor(Seconds(3));
+        bool isSettled = world.settledPlacements() == 5;
+        world.stop(handOver.first);
+        bool isReplaced = handOver.waitForSecond();
+        world.runFor(Seconds(2));
+        // The next leader stores the job again.
+        world.failTask();
+        world.runFor(Seconds(2));
+        BOOST_TEST(world.settledPlacements() == 5U);
+        return isSettled && isReplaced;
+    });
+    BOOST_TEST(played > 0U);
+}
+
 /// Guards against a next leader that waits for an attempt that the last one had given up while there was no room.
 BOOST_AUTO_TEST_CASE(anAttemptThatWasGivenUpWithoutRoomIsNotWaitedForAgain)
 {
--- a/tests/takeovers/ModelWorld.cpp
+++ b/tests/takeovers/ModelWorld.cpp
@@ -412,6 +412,18 @@
     });
 }
 
+std::size_t ModelWorld::settledPlacements() const
+{
+    JobId id("j");
+    auto found = this->tables.items.find(StoreKeys::progress(id));
+    auto progress
+        = found == this->tables.items.end() ? std::nullopt : JobProgressCodec().decode(id, found->second.value);
+    if (!progress)
+        return 0;
+    return static_cast<std::size_t>(std::count_if(progress->placements.begin(), progress->placements.end(),
+        [](const auto& entry) { return entry.second.isSettled; }));
+}
+
 std::size_t ModelWorld::runningTasks()
 {
     std::size_t count = 0;
--- a/tests/takeovers/ModelWorld.h
+++ b/tests/takeovers/ModelWorld.h
@@ -70,6 +70,9 @@
     /// Runs without new faults, and notes the long-running tasks that run at no time of it.
     void runCalmly(Milliseconds span);
 
+    /// The long-running tasks that are stored with a start order that was certainly carried out.
+    std::size_t settledPlacements() const;
+
     /// The tasks that run on workers now.
     std::size_t runningTasks();
 
