jobs: keep a drain while its VM may go down by an order

The drain of a VM that the wave no longer names ended at once, also if the order to take the VM down was under way: a task started meanwhile would have been ended by it.

--- a/modules/jobs/systems/MaintenanceSystem.cpp
+++ b/modules/jobs/systems/MaintenanceSystem.cpp
@@ -13,7 +13,7 @@
 std::vector<VmId> MaintenanceSystem::advance(const MaintenanceWave& wave, const std::map<VmId, VmInfo>& vms,
     const std::map<VmId, Deadline>& mayBeDown, Instant now)
 {
-    this->endOtherDrains(wave);
+    this->endOtherDrains(wave, mayBeDown);
     struct Candidate {
         bool isDraining;
         std::size_t attempts;
@@ -89,10 +89,11 @@
     this->drains.clear();
 }
 
-void MaintenanceSystem::endOtherDrains(const MaintenanceWave& wave)
+void MaintenanceSystem::endOtherDrains(const MaintenanceWave& wave, const std::map<VmId, Deadline>& mayBeDown)
 {
     std::erase_if(this->drains, [&](const auto& entry) {
-        if (std::find(wave.vms.begin(), wave.vms.end(), entry.second.vm) != wave.vms.end())
+        const VmId& vm = entry.second.vm;
+        if (mayBeDown.contains(vm) || std::find(wave.vms.begin(), wave.vms.end(), vm) != wave.vms.end())
             return false;
         if (auto* worker = this->tables.findWorker(entry.first))
             worker->isDrainOrdered = false;
--- a/modules/jobs/systems/MaintenanceSystem.h
+++ b/modules/jobs/systems/MaintenanceSystem.h
@@ -61,8 +61,8 @@
         bool isUrgent = false;
     };
 
-    /// Ends the drains of VMs that are not part of the wave.
-    void endOtherDrains(const MaintenanceWave&);
+    /// Ends the drains of VMs that are not part of the wave, unless they may go down by an order.
+    void endOtherDrains(const MaintenanceWave&, const std::map<VmId, Deadline>& mayBeDown);
     void drain(WorkerRow&, const Drain&, Instant now);
     /// Speeds up or gives up the drains that withhold room from long-running tasks.
     void limitDrains(Instant now);
--- a/modules/jobs/tests/SizingTests.cpp
+++ b/modules/jobs/tests/SizingTests.cpp
@@ -426,6 +426,9 @@
     const WorkerRow& worker = this->tables.workers.at(WorkerId("w-n0"));
     BOOST_TEST(worker.isDrainOrdered);
     wave.vms = { VmId("n1") };
+    std::map<VmId, Deadline> down { { VmId("n0"), Deadline::never() } };
+    this->maintenance.advance(wave, this->vms, down, this->now);
+    BOOST_TEST(worker.isDrainOrdered);
     this->maintenance.advance(wave, this->vms, {}, this->now);
     BOOST_TEST(!worker.isDrainOrdered);
 }
