leadership: tell of each start order without an answer, those of long-running tasks first

A task that is not long-running, with an unanswered start on a worker that the leader did not suspect yet, was not told of at a hand-over, so the next leader waited for it anew; and a leader that resigned right after its win, before it had reached the workers, could fill all rows with settled attempts of theirs, in the order of their names. Found by reading; no run shows either.

--- a/modules/coordinator/leadership/EarlierOrdersCodec.h
+++ b/modules/coordinator/leadership/EarlierOrdersCodec.h
@@ -2,6 +2,7 @@
 
 #include <core/time/Instant.h>
 
+#include <cstddef>
 #include <string>
 #include <string_view>
 
--- a/modules/coordinator/placing/LeaseManager.h
+++ b/modules/coordinator/placing/LeaseManager.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <coordinator/leadership/EarlierOrdersCodec.h>
 #include <coordinator/workers/WorkerLink.h>
 #include <core/errors/WorkScope.h>
 #include <core/log/Log.h>
@@ -184,16 +185,10 @@
     EarlierOrders describeOrders(Instant now) const
     {
         EarlierOrders orders;
-        Instant latest = now - LeaseManager::longestLease(this->leaseDuration);
+        this->describeStarts(orders, now, true);
+        this->describeStarts(orders, now, false);
         for (const auto& [id, worker] : this->tables.workers) {
-            bool isUnresponsive = worker.isSuspect || !worker.isReached;
-            for (const auto& [task, attempt] : worker.attempts) {
-                bool isTold
-                    = isUnresponsive || (attempt.isLongRunning && (!attempt.isSettled() || attempt.orderedAt > latest));
-                if (attempt.mayHaveBeenSent() && isTold)
-                    orders.starts[{ task, attempt.run }] = attempt.orderedAt;
-            }
-            if (isUnresponsive && LeaseManager::hasAttempts(worker))
+            if (LeaseManager::isUnresponsive(worker) && LeaseManager::hasAttempts(worker))
                 orders.leases[id] = this->leaseOf(worker);
         }
         return orders;
@@ -452,6 +447,24 @@
             [latest](const auto& entry) { return entry.second.orderedAt <= latest; });
     }
 
+    static bool isUnresponsive(const WorkerRow& worker) { return worker.isSuspect || !worker.isReached; }
+
+    /// Describes the start orders of long-running tasks, or of all others, as far as there is space for them.
+    void describeStarts(EarlierOrders& orders, Instant now, bool isLongRunning) const
+    {
+        Instant latest = now - LeaseManager::longestLease(this->leaseDuration);
+        for (const auto& [id, worker] : this->tables.workers) {
+            for (const auto& [task, attempt] : worker.attempts) {
+                // That the start of another task was carried out is not stored.
+                bool isOpen = isLongRunning ? !attempt.isSettled() || attempt.orderedAt > latest
+                                            : LeaseManager::isUnresponsive(worker) || !attempt.isAnswered;
+                bool isTold = attempt.isLongRunning == isLongRunning && attempt.mayHaveBeenSent() && isOpen;
+                if (isTold && orders.starts.size() < EarlierOrdersCodec::maxRows)
+                    orders.starts[{ task, attempt.run }] = attempt.orderedAt;
+            }
+        }
+    }
+
     static bool hasAttempts(const WorkerRow& worker) { return !worker.attempts.empty() || !worker.orphans.empty(); }
 
     /// Releases the attempts of a worker that has ended with its VM, apart from those whose start orders may still be
