leadership: tell the next leader of all leases of unresponsive workers

What callers saw: a long-running task stays away for longer than 9 s while there is room, if a leader hands over in the moment in which it has given up the task's attempt.

Cause: only leases of workers with attempts were told at a hand-over. A leader that has just released the last attempt on a worker has not stored that yet, so the next one inherits the attempt, is told nothing of the lease, and waits for it anew.

What is told is the end of the lease that this leader knows by the same rule as with attempts, so no wait ends sooner than its own.

--- a/modules/coordinator/placing/LeaseManager.h
+++ b/modules/coordinator/placing/LeaseManager.h
@@ -192,7 +192,8 @@
                 if (attempt.mayHaveBeenSent() && isTold)
                     orders.starts[{ task, attempt.run }] = attempt.orderedAt;
             }
-            if (isUnresponsive && LeaseManager::hasAttempts(worker))
+            // Also without attempts: that it gave them up may not be stored yet.
+            if (isUnresponsive)
                 orders.leases[id] = this->leaseOf(worker);
         }
         return orders;
