--- a/modules/coordinator/placing/LeaseManager.h
+++ b/modules/coordinator/placing/LeaseManager.h
@@ -188,7 +188,8 @@
         this->describeStarts(orders, now, true);
         this->describeStarts(orders, now, false);
         for (const auto& [id, worker] : this->tables.workers) {
-            if (LeaseManager::isUnresponsive(worker) && LeaseManager::hasAttempts(worker))
+            // Also without attempts: that it gave them up may not be stored yet.
+            if (LeaseManager::isUnresponsive(worker))
                 orders.leases[id] = this->leaseOf(worker);
         }
         return orders;
