coordinator: the lease of an earlier leader outlasts the first report

What callers could see: two runs of one task (TWICE). A worker answered a new leader once and was cut off; its tasks started elsewhere at once, while it ran them on the lease that the last leader had granted.

Cause: with the first report a worker counts as reached, and from then on only the leases count that this leader has asked for. Until its first renewal there are none, so the lease looked expired. That renewal waits for up to 0.3 s if the report lists ends that have to be stored, and a probe of an unanswered start makes the worker suspect meanwhile. Found by the review.

Evidence: EndedWorkers/aWorkerThatIsCutOffRightAfterItsFirstReportHoldsThe- LeaseOfTheLastLeader fails on (one task runs twice) and holds now.

Why it works: the first report carries over what earlier leaders may have granted. From then on the worker refuses their orders, so the lease gets no longer than one that is granted now.

--- a/modules/coordinator/placing/LeaseManager.h
+++ b/modules/coordinator/placing/LeaseManager.h
@@ -344,6 +344,8 @@
 
     void applyReport(WorkerRow& worker, const WorkerReport& report, Instant sentAt, Instant now)
     {
+        if (!worker.isReached)
+            this->boundInheritedLease(worker, now);
         this->logUnreadableRows(worker, report.unreadable, now);
         this->logEvents(this->reports.apply(worker, report, sentAt, now));
     }
@@ -417,6 +419,17 @@
         return lease;
     }
 
+    /// Applies that the worker answers this leader, and so refuses the orders of earlier ones: the leases that these
+    /// granted last on, but get no longer.
+    void boundInheritedLease(WorkerRow& worker, Instant now)
+    {
+        EarlierLease inherited = this->inheritedLeaseOf(worker);
+        auto known = std::min(inherited.known, Deadline::after(now, LeaseManager::longestLease(this->leaseDuration)));
+        worker.leaseExpires = std::max(worker.leaseExpires, known);
+        auto longest = std::min(inherited.longest, this->longestLeaseExpiry(now));
+        worker.longestLeaseExpires = std::max(worker.longestLeaseExpires, longest);
+    }
+
     /// When the leases of the worker expire that this leader and those before may have granted.
     EarlierLease leaseOf(const WorkerRow& worker) const
     {
--- a/modules/coordinator/tests/EndedWorkerTests.cpp
+++ b/modules/coordinator/tests/EndedWorkerTests.cpp
@@ -215,6 +215,38 @@
     BOOST_TEST(this->workers.lapses > 0U);
 }
 
+/// Guards against a lease of the last leader that the next one forgets once the worker has answered it: the worker is
+/// cut off before its lease is renewed, which waits for the ends that it reported to be stored.
+BOOST_AUTO_TEST_CASE(aWorkerThatIsCutOffRightAfterItsFirstReportHoldsTheLeaseOfTheLastLeader)
+{
+    JobRecord ending = this->job("ending", 2);
+    ending.spec.steps[0].longRunning = true;
+    this->submit(*this->first, ending);
+    BOOST_REQUIRE(this->runUntil([this] { return this->workers.starts == 4U; }));
+    this->second = this->makeDaemon("second", "2");
+    EndedWorkerFixture::listVms(*this->second);
+    this->second->coordinator.start();
+    this->runFor(Milliseconds(1500));
+    this->first->link.lateStarts = 1;
+    this->first->link.lateStartDelay = Milliseconds(60'000);
+    this->submitHeldUp();
+    BOOST_REQUIRE(this->runUntil([this] { return this->first->link.heldUpAt.has_value(); }));
+    this->lost = *this->first->link.heldUpAt;
+    this->second->store.losesWritesOf = StoreKeys::progress(JobId("ending"));
+    this->second->link.onRenewed = [this](const WorkerId& id) {
+        if (id == this->lost)
+            this->cutOff(*this->second);
+    };
+    for (std::uint32_t index = 0; index < 2; ++index)
+        this->workers.endTask(this->lost, { JobId("ending"), 0, 0, index }, EndKind::Failed);
+    this->first->coordinator.resign();
+    BOOST_REQUIRE(this->runUntil([this] { return this->second->link.unreachable.contains(this->lost); }));
+    this->runFor(Milliseconds(150));
+    this->second->store.losesWritesOf.clear();
+    this->runFor(Milliseconds(1500));
+    BOOST_TEST(this->workers.startedTwice.empty());
+}
+
 /// Guards against a wait, begun anew by each leader, for a task that has started just before its worker ends.
 BOOST_AUTO_TEST_CASE(aTaskThatHasJustStartedOnAnEndedWorkerIsWaitedForByNoLeader)
 {
