jobs: a long-running gang that does not fit is not stored anew in each tick

Its members are planned and released in each tick, and since each release marked the job as unsaved, so the store was written every 40 ms for as long as the gang waited. A member that is only planned has never been stored. Found by the review; aLongRunningGangThatDoesNotFitIsNotStored failed before.

--- a/modules/jobs/tables/JobTables.cpp
+++ b/modules/jobs/tables/JobTables.cpp
@@ -267,7 +267,7 @@
         this->stepRow(job, task).activeCount -= 1;
         job.activeTasks -= 1;
         // Stored, also while there is no room for the task, so that the next leader does not wait for the attempt.
-        if (attempt.isLongRunning && !job.hasEnded())
+        if (attempt.isLongRunning && attempt.phase != AttemptPhase::Planned && !job.hasEnded())
             this->markUnsaved(job);
     }
     worker.attempts.erase(found);
--- a/modules/jobs/tests/PlacementTests.cpp
+++ b/modules/jobs/tests/PlacementTests.cpp
@@ -172,6 +172,18 @@
     BOOST_TEST(this->tables.unsavedJobs.empty());
 }
 
+/// Guards against a long-running gang that waits for room and is stored anew in each tick.
+BOOST_AUTO_TEST_CASE(aLongRunningGangThatDoesNotFitIsNotStored)
+{
+    this->addWorker("w1", "north", 2000);
+    StepSpec gang = step(3, 1000);
+    gang.gang = true;
+    gang.longRunning = true;
+    this->addJob("j", { gang });
+    this->place();
+    BOOST_TEST(this->tables.unsavedJobs.empty());
+}
+
 /// If one member could not be started, the others would wait for it until they time out.
 BOOST_AUTO_TEST_CASE(theRemainingMembersOfAGangAreStopped)
 {
