jobs: a long-running task that waits for its rack starts in no quarantine

The last choice of a quarantined worker was taken whenever no worker was chosen, also while the task waited for a worker near its data or for a ticket. It is taken now only if no other worker has room.

--- a/modules/jobs/systems/PlacementSystem.cpp
+++ b/modules/jobs/systems/PlacementSystem.cpp
@@ -191,7 +191,8 @@
             return;
         TaskName name { job.record.id, occurrence, step, index };
         WorkerRow* worker = this->chooseFromPool(job, name, pool);
-        if (!worker && spec.longRunning)
+        auto canTake = [&](const WorkerRow* other) { return PlacementSystem::canTake(*other, spec, name); };
+        if (!worker && spec.longRunning && std::none_of(pool.workers.begin(), pool.workers.end(), canTake))
             worker = this->chooseWorker(job, name, pool.quarantined);
         if (!worker)
             return;
--- a/modules/jobs/tests/PlacementTests.cpp
+++ b/modules/jobs/tests/PlacementTests.cpp
@@ -184,6 +184,26 @@
     BOOST_TEST(this->tables.unsavedJobs.empty());
 }
 
+/// Guards against a long-running task that starts in a quarantine while it waits for a worker near its data.
+BOOST_AUTO_TEST_CASE(aLongRunningTaskThatWaitsForItsRackStartsInNoQuarantine)
+{
+    this->addWorker("near").info.labels = { "rack-7" };
+    this->addWorker("far");
+    WorkerRow& bad = this->addWorker("bad");
+    bad.quarantinedUntil = Deadline::after(this->now, Seconds(4));
+    StepSpec filler = step(8, 1000);
+    filler.requiredLabel = "rack-7";
+    this->addJob("f", { filler });
+    this->place();
+    StepSpec local = step(1, 1000);
+    local.preferredRack = "rack-7";
+    local.longRunning = true;
+    this->addJob("j", { local });
+    PlacementSystem placement(this->tables, 3);
+    placement.place(this->now, this->unixMs);
+    BOOST_TEST(!bad.attempts.contains(task("j", 0, 0)));
+}
+
 /// If one member could not be started, the others would wait for it until they time out.
 BOOST_AUTO_TEST_CASE(theRemainingMembersOfAGangAreStopped)
 {
