--- a/modules/jobs/systems/PoolLoad.cpp
+++ b/modules/jobs/systems/PoolLoad.cpp
@@ -55,7 +55,7 @@
             if (!needsAnotherWorker(spec, { job.record.id, index, step, 0 }, workers))
                 continue;
             load.unplaceable += spec.demand * count;
-            if (spec.perWorkerLimit)
+            if (spec.longRunning && spec.perWorkerLimit)
                 load.additionalWorkers
                     = std::max(load.additionalWorkers, (count + spec.perWorkerLimit - 1) / spec.perWorkerLimit);
         }
