leadership: tell of the last copy of a start order, and read each record once

The age that a hand-over tells of a start order was that of its first copy; others follow within a second. It is that of the last one now. Two records are told apart by all that they hold, since the one that a leader acquires with and the one that it resigns with have the same epoch. Leases are not passed on if there was no record at all. Found by the review, by reading.

--- a/modules/coordinator/leadership/Leadership.h
+++ b/modules/coordinator/leadership/Leadership.h
@@ -175,13 +175,13 @@
         Milliseconds span = this->leader ? this->leader->earlierOrdersFor.value_or(validity) : validity;
         this->earlierOrdersExpire = Deadline::after(BootClock::now(), span);
         // A record that is read again tells ages as of when it was written.
-        std::pair source(this->leader ? this->leader->epoch : 0, this->leader ? this->leader->earlierOrders : "");
+        std::string source = this->leader ? this->leader->encode() : "";
         if (source == this->ordersSource)
             return;
         this->ordersSource = std::move(source);
-        this->earlierOrders = this->ordersSource.second.empty()
+        this->earlierOrders = !this->leader || this->leader->earlierOrders.empty()
             ? EarlierOrders()
-            : this->ordersCodec.decode(this->ordersSource.second, BootClock::now());
+            : this->ordersCodec.decode(this->leader->earlierOrders, BootClock::now());
     }
 
     void handleListing(const KvListing& listing)
@@ -343,7 +343,7 @@
         record.earlierOrdersFor = earlierOrdersFor;
         EarlierOrders orders = this->earlierOrders;
         // A leader that has not handed over may have granted leases since.
-        if (this->leader && !this->leader->daemon.isEmpty())
+        if (!this->leader || !this->leader->daemon.isEmpty())
             orders.leases.clear();
         record.earlierOrders = this->ordersCodec.encode(orders, BootClock::now());
         KvCommit commit { { { StoreKeys::leader, this->leaderRevision } },
@@ -407,9 +407,9 @@
     /// Until when leaders before the one that `leader` names may send orders.
     Deadline earlierOrdersExpire;
     EarlierOrdersCodec ordersCodec;
-    /// What the record of the leader key tells of the orders of earlier leaders, and the epoch and text of that record.
+    /// What the record of the leader key tells of the orders of earlier leaders, and that record.
     EarlierOrders earlierOrders;
-    std::pair<std::uint32_t, std::string> ordersSource;
+    std::string ordersSource;
     /// This daemon does not acquire the leadership before.
     Deadline acquireFrom;
     bool isHeartbeatPending = false;
--- a/modules/coordinator/placing/LeaseManager.h
+++ b/modules/coordinator/placing/LeaseManager.h
@@ -474,7 +474,7 @@
                                             : LeaseManager::isUnresponsive(worker) || !attempt.isAnswered;
                 bool isTold = attempt.isLongRunning == isLongRunning && attempt.mayHaveBeenSent() && isOpen;
                 if (isTold && orders.starts.size() < EarlierOrdersCodec::maxRows)
-                    orders.starts[{ task, attempt.run }] = attempt.orderedAt;
+                    orders.starts[{ task, attempt.run }] = std::max(attempt.orderedAt, attempt.lastSentAt);
             }
         }
     }
--- a/modules/coordinator/placing/OrderSender.h
+++ b/modules/coordinator/placing/OrderSender.h
@@ -201,6 +201,7 @@
         start.checkpoint = attempt.checkpoint;
         start.ticket = attempt.ticket;
         attempt.startOrdersSent += 1;
+        attempt.lastSentAt = now;
         this->leases.extendLease(worker, now, PlacementSystem::orderValidFor);
         attempt.nextStartOrder = Deadline::after(now, startRetry);
         this->link.start(this->leases.endpointOf(worker), start,
--- a/modules/jobs/tables/Attempt.h
+++ b/modules/jobs/tables/Attempt.h
@@ -47,6 +47,8 @@
     /// The resources that count against the team's maximum.
     ResourceAmount charged;
     Instant orderedAt;
+    /// When the start order was last sent.
+    Instant lastSentAt;
     /// How often the start order has been sent, and how many of these calls have ended, with an answer or without.
     int startOrdersSent = 0;
     int startOrdersEnded = 0;
