--- a/tests/takeovers/ModelWorld.cpp
+++ b/tests/takeovers/ModelWorld.cpp
@@ -233,6 +233,8 @@
 
 void ModelWorld::returnWorkers()
 {
+    if (this->cutOffWorkers.empty())
+        return;
     this->noteDisruption();
     for (const auto& id : std::exchange(this->cutOffWorkers, {})) {
         this->lostWorkers.erase(id);
