--- a/modules/coordinator/leadership/LeaderRecord.cpp
+++ b/modules/coordinator/leadership/LeaderRecord.cpp
@@ -12,8 +12,8 @@
     value["epoch"] = this->epoch;
     if (this->earlierOrdersFor)
         value["earlier_orders_ms"] = Json::Int64(this->earlierOrdersFor->count());
-    if (!this->earlierOrders.empty())
-        value["earlier_orders"] = this->earlierOrders;
+    if (!this->openOrders.empty())
+        value["open_orders"] = this->openOrders;
     return toCompactJson(value);
 }
 
@@ -27,8 +27,8 @@
     const Json::Value& earlierOrdersMs = (*value)["earlier_orders_ms"];
     if (earlierOrdersMs.isUInt())
         record.earlierOrdersFor = Milliseconds(earlierOrdersMs.asUInt());
-    if ((*value)["earlier_orders"].isString())
-        record.earlierOrders = (*value)["earlier_orders"].asString();
+    if ((*value)["open_orders"].isString())
+        record.openOrders = (*value)["open_orders"].asString();
     return record;
 }
 
--- a/modules/coordinator/leadership/LeaderRecord.h
+++ b/modules/coordinator/leadership/LeaderRecord.h
@@ -20,9 +20,9 @@
     /// How long leaders before this one may send orders after this record was written, at most. Earlier versions do not
     /// store it.
     std::optional<Milliseconds> earlierOrdersFor = std::nullopt;
-    /// Orders of earlier leaders that may still have an effect, as `EarlierOrdersCodec` encodes them. Empty if an
+    /// Orders of earlier leaders that may still have an effect, as `OpenOrdersCodec` encodes them. Empty if an
     /// earlier version wrote the record.
-    std::string earlierOrders = {};
+    std::string openOrders = {};
 
     std::string encode() const;
 
--- a/modules/coordinator/leadership/Leadership.h
+++ b/modules/coordinator/leadership/Leadership.h
@@ -1,12 +1,12 @@
 #pragma once
 
 #include <coordinator/leadership/DaemonSizes.h>
-#include <coordinator/leadership/EarlierOrdersCodec.h>
 #include <coordinator/leadership/LeaderRecord.h>
+#include <coordinator/leadership/OpenOrdersCodec.h>
 #include <coordinator/leadership/StoreKeys.h>
 #include <coordinator/store/PrefixMirror.h>
 #include <core/time/Deadline.h>
-#include <jobs/tables/EarlierOrders.h>
+#include <jobs/tables/OpenOrders.h>
 
 #include <algorithm>
 #include <functional>
@@ -25,7 +25,7 @@
     /// Until when an earlier leader may still send orders.
     Deadline earlierOrdersExpire;
     /// What the leaders before have told of their orders.
-    EarlierOrders earlierOrders;
+    OpenOrders openOrders;
 };
 
 /// Elects, through the shared store, the leader: the daemon that places tasks. The leader key is acquired by
@@ -43,7 +43,7 @@
         /// A heartbeat of any leader has been read; called with its payload.
         std::function<void(const std::string&)> onHeartbeat;
         /// Describes, for the next leader, the orders of this one and of those before that may still have an effect.
-        std::function<EarlierOrders()> describeOrders = [] { return EarlierOrders(); };
+        std::function<OpenOrders()> describeOrders = [] { return OpenOrders(); };
     };
 
     /// How long a leader acts after the store last confirmed its leadership.
@@ -147,7 +147,7 @@
 
 private:
     /// `orders` are those that may still have an effect.
-    void handOver(std::string_view reason, const EarlierOrders& orders)
+    void handOver(std::string_view reason, const OpenOrders& orders)
     {
         LeaderRecord vacant { DaemonId(), this->self.incarnation, this->term->epoch,
             Leadership::remainingRoundedUp(this->term->earlierOrdersExpire),
@@ -179,9 +179,9 @@
         if (source == this->ordersSource)
             return;
         this->ordersSource = std::move(source);
-        this->earlierOrders = !this->leader || this->leader->earlierOrders.empty()
-            ? EarlierOrders()
-            : this->ordersCodec.decode(this->leader->earlierOrders, BootClock::now());
+        this->openOrders = !this->leader || this->leader->openOrders.empty()
+            ? OpenOrders()
+            : this->ordersCodec.decode(this->leader->openOrders, BootClock::now());
     }
 
     void handleListing(const KvListing& listing)
@@ -341,11 +341,11 @@
         LeaderRecord record = this->self;
         record.epoch = this->leader ? this->leader->epoch + 1 : 0;
         record.earlierOrdersFor = earlierOrdersFor;
-        EarlierOrders orders = this->earlierOrders;
+        OpenOrders orders = this->openOrders;
         // A leader that has not handed over may have granted leases since.
         if (!this->leader || !this->leader->daemon.isEmpty())
             orders.leases.clear();
-        record.earlierOrders = this->ordersCodec.encode(orders, BootClock::now());
+        record.openOrders = this->ordersCodec.encode(orders, BootClock::now());
         KvCommit commit { { { StoreKeys::leader, this->leaderRevision } },
             { { StoreKeys::leader, record.encode() }, { StoreKeys::heartbeat, this->handlers.makeHeartbeatPayload() } },
             {} };
@@ -375,7 +375,7 @@
             return;
         this->lastToken = token;
         this->highestToken = token;
-        this->term = Term { token, this->leader->epoch, this->earlierOrdersExpire, this->earlierOrders };
+        this->term = Term { token, this->leader->epoch, this->earlierOrdersExpire, this->openOrders };
         this->actUntil = confirmedUntil;
         Instant now = BootClock::now();
         this->nextHeartbeat = confirmedUntil.hasPassed(now) ? Deadline(now) : Deadline::after(now, heartbeatPeriod);
@@ -406,9 +406,9 @@
     Deadline nextHeartbeat;
     /// Until when leaders before the one that `leader` names may send orders.
     Deadline earlierOrdersExpire;
-    EarlierOrdersCodec ordersCodec;
+    OpenOrdersCodec ordersCodec;
     /// What the record of the leader key tells of the orders of earlier leaders, and that record.
-    EarlierOrders earlierOrders;
+    OpenOrders openOrders;
     std::string ordersSource;
     /// This daemon does not acquire the leadership before.
     Deadline acquireFrom;
--- a/modules/coordinator/leadership/EarlierOrdersCodec.cpp
+++ b/modules/coordinator/leadership/OpenOrdersCodec.cpp
@@ -1,9 +1,9 @@
-#include <coordinator/leadership/EarlierOrdersCodec.h>
+#include <coordinator/leadership/OpenOrdersCodec.h>
 
 #include <core/log/Log.h>
 #include <core/log/LogLine.h>
 #include <jobs/codec/CompactJson.h>
-#include <jobs/tables/EarlierOrders.h>
+#include <jobs/tables/OpenOrders.h>
 
 #include <algorithm>
 
@@ -44,7 +44,7 @@
     return value.isInt64() && value.asInt64() >= 0 && value.asInt64() <= longestSpanMs;
 }
 
-bool decodeStart(const Json::Value& row, Instant now, EarlierOrders& orders)
+bool decodeStart(const Json::Value& row, Instant now, OpenOrders& orders)
 {
     if (!row.isArray() || row.size() != StartColumnCount || !row[Task].isString() || !row[Run].isUInt()
         || !isSpan(row[AgeMs]))
@@ -55,7 +55,7 @@
     return task.has_value();
 }
 
-bool decodeLease(const Json::Value& row, Instant now, EarlierOrders& orders)
+bool decodeLease(const Json::Value& row, Instant now, OpenOrders& orders)
 {
     if (!row.isArray() || row.size() != LeaseColumnCount || !row[Worker].isString() || !isSpan(row[KnownMs])
         || !isSpan(row[LongestMs]))
@@ -67,7 +67,7 @@
 
 } // namespace
 
-std::string EarlierOrdersCodec::encode(const EarlierOrders& orders, Instant now) const
+std::string OpenOrdersCodec::encode(const OpenOrders& orders, Instant now) const
 {
     Json::Value value(Json::objectValue);
     for (const auto& [attempt, orderedAt] : orders.starts) {
@@ -91,9 +91,9 @@
     return toCompactJson(value);
 }
 
-EarlierOrders EarlierOrdersCodec::decode(std::string_view text, Instant now) const
+OpenOrders OpenOrdersCodec::decode(std::string_view text, Instant now) const
 {
-    EarlierOrders orders;
+    OpenOrders orders;
     auto value = parseJsonObject(text);
     std::size_t unreadable = value ? 0 : 1;
     auto decodeRows = [&](const char* field, auto decodeRow) {
@@ -110,7 +110,7 @@
     decodeRows("starts", decodeStart);
     decodeRows("leases", decodeLease);
     if (unreadable)
-        writeLog(LogLevel::Error, LogLine("stored_earlier_orders_unreadable").add("rows", unreadable));
+        writeLog(LogLevel::Error, LogLine("stored_open_orders_unreadable").add("rows", unreadable));
     return orders;
 }
 
--- a/modules/coordinator/placing/Coordinator.h
+++ b/modules/coordinator/placing/Coordinator.h
@@ -273,7 +273,7 @@
         tables.removedQueues = this->removedQueues;
         std::erase_if(this->setAsideUntil, [](const auto& entry) { return entry.second.hasPassed(BootClock::now()); });
         tables.setAsideUntil = this->setAsideUntil;
-        tables.earlierOrders = term.earlierOrders;
+        tables.openOrders = term.openOrders;
         tables.lowestRun = 1 + term.epoch * runsPerEpoch;
         auto inheritedExpire = [&term](Milliseconds span) { return Deadline(term.earlierOrdersExpire.at() + span); };
         tables.inheritedLeasesExpire = inheritedExpire(LeaseManager<Link>::longestLease(this->limits.leaseDuration));
@@ -286,12 +286,12 @@
     }
 
     /// The orders of this leader and of those before that may still have an effect.
-    EarlierOrders describeOrders() const
+    OpenOrders describeOrders() const
     {
         if (!this->session)
             return {};
         if (!this->session->isComplete() || !this->session->loader.arePlacementsRestored())
-            return this->session->tables.earlierOrders;
+            return this->session->tables.openOrders;
         return this->session->leases.describeOrders(BootClock::now());
     }
 
--- a/modules/coordinator/placing/LeaseManager.h
+++ b/modules/coordinator/placing/LeaseManager.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <coordinator/leadership/EarlierOrdersCodec.h>
+#include <coordinator/leadership/OpenOrdersCodec.h>
 #include <coordinator/workers/WorkerLink.h>
 #include <core/errors/WorkScope.h>
 #include <core/log/Log.h>
@@ -182,9 +182,9 @@
 
     /// Describes, for the next leader, the start orders that may still be under way and the leases of workers that do
     /// not answer.
-    EarlierOrders describeOrders(Instant now) const
+    OpenOrders describeOrders(Instant now) const
     {
-        EarlierOrders orders;
+        OpenOrders orders;
         this->describeStarts(orders, now, true);
         this->describeStarts(orders, now, false);
         for (const auto& [id, worker] : this->tables.workers) {
@@ -407,10 +407,10 @@
     }
 
     /// When the leases expire that earlier leaders may have granted the worker.
-    EarlierLease inheritedLeaseOf(const WorkerRow& worker) const
+    LeaseExpiry inheritedLeaseOf(const WorkerRow& worker) const
     {
-        EarlierLease lease { this->tables.inheritedLeasesExpire, this->tables.inheritedLongestLeasesExpire };
-        const auto& told = this->tables.earlierOrders.leases;
+        LeaseExpiry lease { this->tables.inheritedLeasesExpire, this->tables.inheritedLongestLeasesExpire };
+        const auto& told = this->tables.openOrders.leases;
         if (auto found = told.find(worker.info.id); found != told.end())
             lease = { std::min(lease.known, found->second.known), std::min(lease.longest, found->second.longest) };
         // The incarnation that runs may be another one than the earlier leaders knew.
@@ -423,7 +423,7 @@
     /// granted last on, but get no longer.
     void boundInheritedLease(WorkerRow& worker, Instant now)
     {
-        EarlierLease inherited = this->inheritedLeaseOf(worker);
+        LeaseExpiry inherited = this->inheritedLeaseOf(worker);
         auto known = std::min(inherited.known, Deadline::after(now, LeaseManager::longestLease(this->leaseDuration)));
         worker.leaseExpires = std::max(worker.leaseExpires, known);
         auto longest = std::min(inherited.longest, this->longestLeaseExpiry(now));
@@ -431,12 +431,12 @@
     }
 
     /// When the leases of the worker expire that this leader and those before may have granted.
-    EarlierLease leaseOf(const WorkerRow& worker) const
+    LeaseExpiry leaseOf(const WorkerRow& worker) const
     {
-        EarlierLease lease { worker.leaseExpires, worker.longestLeaseExpires };
+        LeaseExpiry lease { worker.leaseExpires, worker.longestLeaseExpires };
         if (worker.isReached)
             return lease;
-        EarlierLease inherited = this->inheritedLeaseOf(worker);
+        LeaseExpiry inherited = this->inheritedLeaseOf(worker);
         return { std::max(lease.known, inherited.known), std::max(lease.longest, inherited.longest) };
     }
 
@@ -464,7 +464,7 @@
     static bool isUnresponsive(const WorkerRow& worker) { return worker.isSuspect || !worker.isReached; }
 
     /// Describes the start orders of long-running tasks, or of all others, as far as there is space for them.
-    void describeStarts(EarlierOrders& orders, Instant now, bool isLongRunning) const
+    void describeStarts(OpenOrders& orders, Instant now, bool isLongRunning) const
     {
         Instant latest = now - LeaseManager::longestLease(this->leaseDuration);
         for (const auto& [id, worker] : this->tables.workers) {
@@ -473,7 +473,7 @@
                 bool isOpen = isLongRunning ? !attempt.isSettled() || attempt.orderedAt > latest
                                             : LeaseManager::isUnresponsive(worker) || !attempt.isAnswered;
                 bool isTold = attempt.isLongRunning == isLongRunning && attempt.mayHaveBeenSent() && isOpen;
-                if (isTold && orders.starts.size() < EarlierOrdersCodec::maxRows)
+                if (isTold && orders.starts.size() < OpenOrdersCodec::maxRows)
                     orders.starts[{ task, attempt.run }] = std::max(attempt.orderedAt, attempt.lastSentAt);
             }
         }
--- a/modules/coordinator/tests/FleetFixture.h
+++ b/modules/coordinator/tests/FleetFixture.h
@@ -11,7 +11,7 @@
 
 namespace Greengage {
 
-constexpr Milliseconds earlierOrders { 3000 };
+constexpr Milliseconds openOrders { 3000 };
 
 /// A daemon that, as leader, sizes the pools of the shared fleet and carries out waves.
 struct FleetDaemon {
@@ -36,7 +36,7 @@
         this->wonAt = BootClock::now();
         this->token = term.fencingToken;
         this->controller = std::make_unique<FleetController<MemoryStore, FakeFleetLink>>(this->store, this->link,
-            this->leadership, this->jobs, Deadline::after(this->wonAt, earlierOrders), earlierOrders,
+            this->leadership, this->jobs, Deadline::after(this->wonAt, openOrders), openOrders,
             [this](std::int64_t wave, bool isCompleted, KvCommit&) {
                 if (isCompleted)
                     this->completedWaves.insert(wave);
--- a/modules/coordinator/tests/LeadershipTests.cpp
+++ b/modules/coordinator/tests/LeadershipTests.cpp
@@ -103,12 +103,12 @@
     Instant writtenAt = BootClock::now();
     Instant readAt = writtenAt + Microseconds(70'300);
     std::pair<TaskName, std::uint32_t> attempt { { JobId("5c0e7a21d94b36f8"), 0, 1, 17 }, 2 };
-    EarlierOrders orders;
+    OpenOrders orders;
     orders.starts[attempt] = writtenAt - Microseconds(744'900);
     orders.leases[WorkerId("w")]
         = { Deadline::after(writtenAt, Microseconds(3'100'100)), Deadline::after(writtenAt, Microseconds(5'600'100)) };
-    EarlierOrdersCodec codec;
-    EarlierOrders read = codec.decode(codec.encode(orders, writtenAt), readAt);
+    OpenOrdersCodec codec;
+    OpenOrders read = codec.decode(codec.encode(orders, writtenAt), readAt);
     BOOST_REQUIRE(read.starts.contains(attempt));
     BOOST_TEST((read.starts[attempt] >= orders.starts[attempt]));
     BOOST_TEST((read.starts[attempt] <= orders.starts[attempt] + Milliseconds(72)));
--- a/modules/coordinator/tests/VmOrderTests.cpp
+++ b/modules/coordinator/tests/VmOrderTests.cpp
@@ -26,8 +26,8 @@
         this->first = this->start("first");
         this->first->store.commit(earlier, [](auto) {});
         BOOST_REQUIRE(this->runUntil([this] { return this->first->leadership.isLeader(); }));
-        BOOST_TEST(this->runUntil([this] { return !this->fleet.orders.empty(); }, earlierOrders + Milliseconds(1000)));
-        BOOST_TEST((this->fleet.orders.front().at - this->first->wonAt >= earlierOrders));
+        BOOST_TEST(this->runUntil([this] { return !this->fleet.orders.empty(); }, openOrders + Milliseconds(1000)));
+        BOOST_TEST((this->fleet.orders.front().at - this->first->wonAt >= openOrders));
     }
 
     std::set<VmId> orderedBy(const FleetDaemon& daemon) const
@@ -57,7 +57,7 @@
     this->first = this->start("first");
     BOOST_TEST(this->runUntil([this] { return this->orderedBy(*this->first).size() == 2U; }, Milliseconds(8000)));
     for (const auto& order : this->fleet.orders)
-        BOOST_TEST((order.at - this->first->wonAt >= earlierOrders));
+        BOOST_TEST((order.at - this->first->wonAt >= openOrders));
 }
 
 /// Loss of a leader: its successor grows the pools at once, and leaves alone only the VMs that the lost leader may have
@@ -88,10 +88,10 @@
             auto vms = this->orderedBy(*this->second);
             return std::any_of(earlier.begin(), earlier.end(), [&vms](const auto& vm) { return vms.contains(vm); });
         },
-        earlierOrders + Milliseconds(4000)));
+        openOrders + Milliseconds(4000)));
     for (const auto& order : this->fleet.orders) {
         if (order.token == this->second->token && earlier.contains(order.vm))
-            BOOST_TEST((order.at - this->second->wonAt >= earlierOrders));
+            BOOST_TEST((order.at - this->second->wonAt >= openOrders));
     }
 }
 
--- a/modules/coordinator/tests/WaveTests.cpp
+++ b/modules/coordinator/tests/WaveTests.cpp
@@ -14,7 +14,7 @@
             this->addVm(name, "north");
         this->first = this->start("first");
         this->runUntil([this] { return this->first->leadership.isLeader(); });
-        this->runFor(earlierOrders + Milliseconds(200));
+        this->runFor(openOrders + Milliseconds(200));
     }
 
     void orderWave(const std::vector<VmId>& vms)
--- a/modules/jobs/tables/JobTables.cpp
+++ b/modules/jobs/tables/JobTables.cpp
@@ -194,7 +194,7 @@
         if (worker->attempts.contains(task))
             continue;
         Attempt& attempt = this->beginAttempt(*worker, job, task, placement.run, AttemptPhase::Unanswered, now);
-        const auto& told = this->earlierOrders.starts;
+        const auto& told = this->openOrders.starts;
         if (auto order = told.find({ task, placement.run }); order != told.end())
             attempt.orderedAt = std::min(now, order->second);
         if (placement.isSettled) {
--- a/modules/jobs/tables/JobTables.h
+++ b/modules/jobs/tables/JobTables.h
@@ -3,8 +3,8 @@
 #include <core/time/Instant.h>
 #include <jobs/model/JobPolicies.h>
 #include <jobs/model/JobProgress.h>
-#include <jobs/tables/EarlierOrders.h>
 #include <jobs/tables/JobRow.h>
+#include <jobs/tables/OpenOrders.h>
 #include <jobs/tables/WorkerRow.h>
 
 #include <memory>
@@ -37,7 +37,7 @@
     /// The same for a worker that has started again, which may hold the longest lease that workers grant.
     Deadline inheritedLongestLeasesExpire;
     /// What the leaders before have told of their orders.
-    EarlierOrders earlierOrders;
+    OpenOrders openOrders;
 
     /// Adds a job. Returns false if the tables have it already or it has ended.
     bool addJob(JobRecord, const JobProgress&);
--- a/modules/jobs/tables/EarlierLease.h
+++ b/modules/jobs/tables/LeaseExpiry.h
@@ -4,9 +4,9 @@
 
 namespace Greengage {
 
-/// When the leases have expired that earlier leaders granted a worker.
-struct EarlierLease {
-    /// That of the incarnation which they knew.
+/// When the leases of a worker expire.
+struct LeaseExpiry {
+    /// That of the incarnation which the leader that granted it knew.
     Deadline known;
     /// That of an incarnation of which no report has told.
     Deadline longest;
--- a/tests/fuzz/targets/platform.cpp
+++ b/tests/fuzz/targets/platform.cpp
@@ -1,15 +1,15 @@
 #include <coordinator/fleet/VmOrderRecord.h>
 #include <coordinator/fleet/WaveRecord.h>
-#include <coordinator/leadership/EarlierOrdersCodec.h>
 #include <coordinator/leadership/LeaderRecord.h>
+#include <coordinator/leadership/OpenOrdersCodec.h>
 #include <coordinator/placing/EndedJob.h>
 #include <coordinator/placing/WorkerRosterRecord.h>
 #include <jobs/codec/JobProgressCodec.h>
 #include <jobs/codec/JobRecordCodec.h>
 #include <jobs/systems/PlacementSystem.h>
 #include <jobs/systems/PoolLoad.h>
-#include <jobs/tables/EarlierOrders.h>
 #include <jobs/tables/JobTables.h>
+#include <jobs/tables/OpenOrders.h>
 #include <platform/ingress/JobBodyCodec.h>
 #include <platform/ingress/OperatorConfiguration.h>
 #include <platform/machines/VmListCodec.h>
@@ -48,7 +48,7 @@
     auto wave = WaveRecord::decode(text);
     auto roster = WorkerRosterRecord::decode(text);
     auto leader = LeaderRecord::decode(text);
-    auto earlier = EarlierOrdersCodec().decode(text, Instant());
+    auto earlier = OpenOrdersCodec().decode(text, Instant());
     auto ended = EndedJob::decode(text);
     auto orders = VmOrderRecord::decode(text);
 }
