coordinator: an answered start is known to run in the known incarnation

Cause: an end is not acknowledged while a start order may have gone to an incarnation of which no report has told. That held for each attempt until a report listed it, so on a busy worker each end cost two reports, the first of which acknowledged nothing.

Fix: the answer to a start tells the worker's clock, which counts from the start of its incarnation. A time that continues the clock of the latest report, and that is larger than what has passed since that report was requested, can only come from the incarnation that made the report. The attempt counts as listed then.

--- a/modules/coordinator/placing/LeaseManager.h
+++ b/modules/coordinator/placing/LeaseManager.h
@@ -130,6 +130,16 @@
         return worker.clockMs + std::chrono::duration_cast<Milliseconds>(now - worker.clockReadAt).count();
     }
 
+    /// Whether an answer with this time on the worker's clock can only come from the incarnation that reports have
+    /// shown. Clocks count from the start of an incarnation, so one that has started since the latest report was
+    /// requested would be younger.
+    bool isFromKnownIncarnation(const WorkerRow& worker, std::int64_t clockMs, Instant now) const
+    {
+        std::int64_t elapsed = std::chrono::ceil<Milliseconds>(now - worker.clockRequestedAt).count();
+        return worker.isReached && clockMs > elapsed && clockMs >= worker.clockMs
+            && clockMs <= worker.clockMs + elapsed;
+    }
+
     /// Records that a lease of this length was granted at `now`.
     void extendLease(WorkerRow& worker, Instant now, Milliseconds length)
     {
--- a/modules/coordinator/placing/OrderSender.h
+++ b/modules/coordinator/placing/OrderSender.h
@@ -206,15 +206,16 @@
         attempt.nextStartOrder = Deadline::after(now, startRetry);
         this->link.start(this->leases.endpointOf(worker), start,
             [this, alive = this->alive, order = StartOrder { worker.info.id, attempt.task, attempt.run },
-                token = start.fencingToken](StartOutcome outcome) {
+                token = start.fencingToken](const StartAnswer& answer) {
                 if (*alive)
-                    this->handleStartOutcome(order, token, outcome);
+                    this->handleStartAnswer(order, token, answer);
             });
     }
 
     /// `token` is the fencing token that the order carried.
-    void handleStartOutcome(const StartOrder& order, std::int64_t token, StartOutcome outcome)
+    void handleStartAnswer(const StartOrder& order, std::int64_t token, const StartAnswer& answer)
     {
+        StartOutcome outcome = answer.outcome;
         JobTables& tables = this->tables;
         WorkerRow* worker = tables.findWorker(order.worker);
         if (!worker)
@@ -240,6 +241,8 @@
             bool wasSettled = attempt.isSettled();
             attempt.isAnswered = true;
             attempt.isAccepted = true;
+            if (answer.clockMs && this->leases.isFromKnownIncarnation(*worker, *answer.clockMs, now))
+                attempt.isListed = true;
             // Stored, so that the next leader need not wait for the order if the worker ends.
             if (auto job = tables.jobs.find(order.task.job);
                 attempt.isLongRunning && attempt.isSettled() && !wasSettled && job != tables.jobs.end())
--- a/modules/coordinator/tests/FakeWorkers.h
+++ b/modules/coordinator/tests/FakeWorkers.h
@@ -200,15 +200,16 @@
             throw std::out_of_range("injected");
         if (this->slowStarts > 0) {
             this->slowStarts -= 1;
-            after(this->base, this->lateStartDelay,
-                [this, id = endpoint.id, order, callback = std::move(callback)] { callback(this->apply(id, order)); });
+            after(this->base, this->lateStartDelay, [this, id = endpoint.id, order, callback = std::move(callback)] {
+                callback(this->applyAndAnswer(id, order));
+            });
             return;
         }
-        StartOutcome outcome = StartOutcome::NoAnswer;
+        StartAnswer answer = StartOutcome::NoAnswer;
         if (this->loseStarts > 0)
             this->loseStarts -= 1;
         else if (this->heldUp.contains({ order.task, order.run }))
-            outcome = StartOutcome::NoAnswer;
+            answer = StartOutcome::NoAnswer;
         else if (this->lateStarts > 0) {
             this->lateStarts -= 1;
             this->heldUp.emplace(order.task, order.run);
@@ -216,13 +217,13 @@
             this->heldUpOrders.push_back(order);
             after(this->base, this->lateStartDelay, [this, id = endpoint.id, order] { this->apply(id, order); });
         } else if (!this->unreachable.contains(endpoint.id))
-            outcome = this->apply(endpoint.id, order);
+            answer = this->applyAndAnswer(endpoint.id, order);
         if (this->loseStartAnswers > 0) {
             this->loseStartAnswers -= 1;
-            outcome = StartOutcome::NoAnswer;
+            answer = StartOutcome::NoAnswer;
         }
-        after(this->base, outcome == StartOutcome::NoAnswer ? this->lostStartTimeout : Milliseconds(2),
-            [callback = std::move(callback), outcome] { callback(outcome); });
+        after(this->base, answer.outcome == StartOutcome::NoAnswer ? this->lostStartTimeout : Milliseconds(2),
+            [callback = std::move(callback), answer] { callback(answer); });
     }
 
     /// Has the worker carry out the orders that are held up, before their time.
@@ -292,6 +293,12 @@
     }
 
 private:
+    StartAnswer applyAndAnswer(const WorkerId& id, const StartAttempt& order)
+    {
+        StartOutcome outcome = this->apply(id, order);
+        return { outcome, FakeWorkers::clockOf(this->workers.workers[id]) };
+    }
+
     StartOutcome apply(const WorkerId& id, const StartAttempt& order)
     {
         auto& worker = this->workers.workers[id];
--- a/modules/coordinator/tests/WorkerRestartTests.cpp
+++ b/modules/coordinator/tests/WorkerRestartTests.cpp
@@ -122,6 +122,20 @@
     BOOST_TEST(this->workers.starts == 3U);
 }
 
+/// Guards against two reports for each end on a worker that is full, so that a start follows each end.
+BOOST_AUTO_TEST_CASE(startsThatTheKnownIncarnationAcceptedHoldUpNoAcknowledgement)
+{
+    std::size_t renewals = 0;
+    this->first->link.onRenewed = [&renewals](const WorkerId&) { renewals += 1; };
+    this->workers.taskLength = Milliseconds(100);
+    constexpr std::uint32_t tasks = 20;
+    JobRecord filling = this->job("j", tasks);
+    filling.spec.steps.front().demand = FakeDaemon::directory().front().capacity;
+    this->submit(*this->first, filling);
+    BOOST_TEST(this->runUntil([this] { return this->isCompleted("j"); }));
+    BOOST_TEST(renewals <= tasks * 3 / 2);
+}
+
 /// Guards against the same when the restart is seen in a report, before the entry is written.
 BOOST_AUTO_TEST_CASE(tasksAreNotStartedElsewhereIfAReportShowsTheRestart)
 {
@@ -326,6 +340,22 @@
     BOOST_TEST(this->workers.startedTwice.empty());
 }
 
+/// Guards against the same when the answer to the start order is taken for that of the known incarnation.
+BOOST_AUTO_TEST_CASE(tasksThatAnUnknownIncarnationAcceptedStartElsewhereOnlyAfterTheLongestLease)
+{
+    // Renewals to the former incarnations wait for an answer.
+    this->runFor(Milliseconds(100));
+    this->workers.longestLease = FakeDaemon::longestGrantedLease;
+    this->workers.taskLength = Milliseconds(5800);
+    this->restartWorkers();
+    this->submit(*this->first, this->job("j", 4));
+    BOOST_REQUIRE(this->runUntil([this] { return this->workers.starts == 5U; }));
+    this->runFor(Milliseconds(10));
+    this->first->link.unreachable = { this->busiestWorker() };
+    BOOST_TEST(this->runUntil([this] { return this->workers.starts == 9U; }, Milliseconds(12'000)));
+    BOOST_TEST(this->workers.startedTwice.empty());
+}
+
 /// Guards against the same under the next leader, which knows what the last one has stored.
 BOOST_AUTO_TEST_CASE(theNextLeaderWaitsForTheLongestLeaseOfAnUnknownIncarnation)
 {
--- a/modules/coordinator/workers/WorkerLink.h
+++ b/modules/coordinator/workers/WorkerLink.h
@@ -1,17 +1,17 @@
 #pragma once
 
+#include <coordinator/workers/StartAnswer.h>
 #include <coordinator/workers/WorkerEndpoint.h>
 #include <coordinator/workers/WorkerFailure.h>
 #include <coordinator/workers/WorkerOrders.h>
 #include <core/errors/Result.h>
-#include <jobs/model/StartOutcome.h>
 #include <jobs/model/WorkerReport.h>
 
 #include <functional>
 
 namespace Greengage {
 
-using StartCallback = std::function<void(StartOutcome)>;
+using StartCallback = std::function<void(const StartAnswer&)>;
 /// Whether the worker has accepted the order. An order can be repeated safely.
 using OrderCallback = std::function<void(bool isAccepted)>;
 using ReportCallback = std::function<void(Result<WorkerReport, WorkerFailure>)>;
--- a/modules/jobs/systems/ReportSystem.cpp
+++ b/modules/jobs/systems/ReportSystem.cpp
@@ -54,6 +54,7 @@
     worker.lastReport = now;
     worker.clockMs = report.clockMs;
     worker.clockReadAt = now;
+    worker.clockRequestedAt = sentAt;
     for (const auto& end : report.ended) {
         if (end.number <= worker.appliedEnds)
             continue;
--- a/modules/jobs/tables/Attempt.h
+++ b/modules/jobs/tables/Attempt.h
@@ -68,9 +68,10 @@
 
     /// Whether the worker is known to have carried out the start order.
     bool isAnswered = false;
-    /// Whether a report of the worker's current incarnation has listed the attempt.
+    /// Whether the worker's current incarnation is known to have carried out the start order: one of its reports has
+    /// listed the attempt, or its clock shows that it answered the order.
     bool isListed = false;
-    /// Whether a report to an earlier leader has listed the attempt, after its only start order. Which incarnation that
+    /// Whether an earlier leader knew this of the incarnation that it knew, after the only start order. Which one that
     /// was is not known.
     bool wasListed = false;
     /// The worker has started again since the start order was sent. The new incarnation may run the attempt, or start
--- a/modules/jobs/tables/WorkerRow.h
+++ b/modules/jobs/tables/WorkerRow.h
@@ -77,6 +77,8 @@
     /// The worker's clock at `clockReadAt`, in milliseconds.
     std::int64_t clockMs = 0;
     Instant clockReadAt;
+    /// When the report was requested that told it.
+    Instant clockRequestedAt;
 };
 
 } // namespace Greengage
--- a/tests/takeovers/ModelLink.h
+++ b/tests/takeovers/ModelLink.h
@@ -34,7 +34,7 @@
             link.start(endpoint, order, std::move(answer));
             onLease(endpoint.id, order.fencingToken);
         };
-        this->send<StartOutcome>(endpoint, carryOut, callback, StartOutcome::NoAnswer);
+        this->send<StartAnswer>(endpoint, carryOut, callback, StartOutcome::NoAnswer);
     }
 
     void stop(const WorkerEndpoint& endpoint, const StopAttempt& order, OrderCallback callback)
