coordinator: a roster write without an answer may have left a worker out

What callers saw: nothing yet; found by reading. A worker got no task any more: it was forgotten, the write of the roster without it got no answer, and it came back before the next write. Until something else changed the roster, its room was withheld.

Cause: after a write without an answer, the roster before it counted as stored, which still names the worker, so that it looked stored and was never written.

It is no way to two runs at once: a worker gets tasks only after an answered write has named it, and a row that is made anew begins without that.

Why it works: while a write is open, only what the roster before and the written one both name counts as stored, and the next write follows at once.

--- a/modules/coordinator/placing/WorkerRosterManager.h
+++ b/modules/coordinator/placing/WorkerRosterManager.h
@@ -82,13 +82,13 @@
 
     bool hasChanged() const
     {
-        if (this->storedIncarnations.size() != this->tables.workers.size())
+        if (this->isWriteOpen || this->storedIncarnations.size() != this->tables.workers.size())
             return true;
         return !std::all_of(this->tables.workers.begin(), this->tables.workers.end(),
             [this](const auto& entry) { return this->isStored(entry.second); });
     }
 
-    /// Whether the stored roster names the worker's current incarnation.
+    /// Whether the stored roster certainly names the worker's current incarnation.
     bool isStored(const WorkerRow& worker) const
     {
         auto found = this->storedIncarnations.find(worker.info.id);
@@ -108,6 +108,12 @@
         KvCommit commit { { this->leadership.condition(), { StoreKeys::workerRoster, this->revision } },
             { { StoreKeys::workerRoster, record.encode() } }, {} };
         this->isUnderWay = true;
+        // From now on, this roster may be stored or the one before.
+        this->isWriteOpen = true;
+        std::erase_if(this->storedIncarnations, [&incarnations](const auto& entry) {
+            auto found = incarnations.find(entry.first);
+            return found == incarnations.end() || found->second != entry.second;
+        });
         Instant sentAt = BootClock::now();
         this->store.commit(std::move(commit), [this, alive = this->alive, incarnations, sentAt](auto result) {
             if (!*alive)
@@ -122,6 +128,7 @@
             }
             this->leadership.confirm(sentAt, result.value().revision);
             this->revision = result.value().revision;
+            this->isWriteOpen = false;
             this->storedIncarnations = incarnations;
             for (auto& [id, worker] : this->tables.workers)
                 worker.isOnRoster = this->isStored(worker);
@@ -135,7 +142,9 @@
     bool isUnderWay = false;
     bool hasLoaded = false;
     std::int64_t revision = 0;
-    /// The stored workers and the start times of their incarnations, in Unix milliseconds.
+    /// Whether it is not known if the last write was applied.
+    bool isWriteOpen = false;
+    /// The workers that are certainly stored and the start times of their incarnations, in Unix milliseconds.
     std::map<WorkerId, std::int64_t> storedIncarnations;
 };
 
--- a/modules/coordinator/tests/MemoryStore.h
+++ b/modules/coordinator/tests/MemoryStore.h
@@ -48,6 +48,8 @@
     int loseCommits = 0;
     /// Commits that write this key are lost.
     std::string losesWritesOf;
+    /// Commits that write this key get no answer.
+    std::string losesAnswersOf;
     /// If set, says how long after their expected answer commits are applied, without one.
     std::function<std::optional<Milliseconds>()> lateness;
     /// How long such a commit is waited for.
@@ -88,9 +90,11 @@
             this->later(Milliseconds(1), [callback = std::move(callback)] { callback(KvFailure::Unanswered); });
             return;
         }
-        bool isLost = std::any_of(commit.puts.begin(), commit.puts.end(),
-            [this](const auto& put) { return put.first == this->losesWritesOf; });
-        if (isLost) {
+        auto writes = [&commit](const std::string& key) {
+            return std::any_of(
+                commit.puts.begin(), commit.puts.end(), [&](const auto& put) { return put.first == key; });
+        };
+        if (writes(this->losesWritesOf)) {
             this->later(this->lostAnswerTimeout, [callback = std::move(callback)] { callback(KvFailure::Unanswered); });
             return;
         }
@@ -104,8 +108,8 @@
             return;
         }
         KvCommitResult result = this->apply(commit);
-        if (this->loseCommits > 0) {
-            this->loseCommits -= 1;
+        if (this->loseCommits > 0 || writes(this->losesAnswersOf)) {
+            this->loseCommits -= this->loseCommits > 0 ? 1 : 0;
             this->later(this->lostAnswerTimeout, [callback = std::move(callback)] { callback(KvFailure::Unanswered); });
             return;
         }
