gateway: a daemon that stops serves the connections that wait to be accepted

Closing a listening socket resets the connections that the kernel has established and the daemon has not accepted yet. A starved daemon that closed its socket after the notice period had such connections, with the requests sent. The kernel now drops new connection requests to the socket first, then the daemon accepts what waits, and closes the socket once poll shows none. Callers whose request to connect was dropped repeat it, and are refused without having sent anything.

--- a/modules/daemon/process/Daemon.cpp
+++ b/modules/daemon/process/Daemon.cpp
@@ -375,7 +375,8 @@
         this->gateway.closeListener();
         this->closeConnectionsAt = Deadline::after(now, connectionCloseTimeout);
     }
-    if (this->gateway.callerConnectionCount() > 0 && !this->closeConnectionsAt.hasPassed(now))
+    bool hasCallers = this->gateway.isListening() || this->gateway.callerConnectionCount() > 0;
+    if (hasCallers && !this->closeConnectionsAt.hasPassed(now))
         return;
     this->deregistering = true;
     this->registration.deregister([this] { this->finishShutdown(); });
--- a/modules/gateway/callers/CallerServer.cpp
+++ b/modules/gateway/callers/CallerServer.cpp
@@ -1,5 +1,7 @@
 #include <gateway/callers/CallerServer.h>
 
+#include <core/log/Log.h>
+#include <core/log/LogLine.h>
 #include <core/time/BootClock.h>
 #include <fleet/requests/messages/AnswerCaller.h>
 #include <fleet/requests/messages/CallerDisconnected.h>
@@ -8,13 +10,19 @@
 #include <gateway/callers/RequestParser.h>
 #include <loop/http/HttpBuffers.h>
 
+#include <array>
 #include <cerrno>
 #include <cstring>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/http.h>
+#include <limits>
+#include <linux/filter.h>
+#include <netinet/tcp.h>
+#include <poll.h>
 #include <string_view>
+#include <sys/socket.h>
 
 namespace Greengage {
 
@@ -24,6 +32,26 @@
 constexpr std::size_t maxQueueNameBytes = 128;
 constexpr int statusOk = 200;
 constexpr int statusUnavailable = 503;
+constexpr Milliseconds drainCheckInterval { 1 };
+
+/// Makes the kernel drop segments that ask for a new connection, so that a listening socket can be drained. Callers
+/// repeat them, and are refused once the socket is closed.
+void dropConnectionRequests(int listener)
+{
+    constexpr std::uint32_t flagsOffset = 13;
+    std::array<sock_filter, 4> instructions { {
+        BPF_STMT(BPF_LD | BPF_B | BPF_ABS, flagsOffset),
+        BPF_JUMP(BPF_JMP | BPF_JSET | BPF_K, TH_SYN, 0, 1),
+        BPF_STMT(BPF_RET | BPF_K, 0),
+        BPF_STMT(BPF_RET | BPF_K, std::numeric_limits<std::uint32_t>::max()),
+    } };
+    sock_fprog filter { static_cast<unsigned short>(instructions.size()), instructions.data() };
+    if (setsockopt(listener, SOL_SOCKET, SO_ATTACH_FILTER, &filter, sizeof filter) != 0)
+        writeLog(LogLevel::Warning,
+            LogLine("listener_filter_failed")
+                .add("error", std::strerror(errno))
+                .add("effect", "connections may break"));
+}
 
 std::string pathOf(const evhttp_request& request)
 {
@@ -40,6 +68,7 @@
     , incarnation(std::move(incarnation))
     , handlers(std::move(handlers))
     , limiter(base, limits.maxConnections, limits.idleTimeout)
+    , drainTimer(base, [this] { this->closeDrainedListener(); })
 {
 }
 
@@ -72,6 +101,18 @@
 {
     if (!this->socket)
         return;
+    dropConnectionRequests(evhttp_bound_socket_get_fd(this->socket));
+    this->closeDrainedListener();
+}
+
+/// Closing a listening socket resets the connections that wait to be accepted, whose requests may have been sent.
+void CallerServer::closeDrainedListener()
+{
+    pollfd listener { evhttp_bound_socket_get_fd(this->socket), POLLIN, 0 };
+    if (poll(&listener, 1, 0) > 0) {
+        this->drainTimer.schedule(drainCheckInterval);
+        return;
+    }
     this->limiter.detach();
     evhttp_del_accept_socket(this->server.get(), this->socket);
     this->socket = nullptr;
--- a/modules/gateway/callers/CallerServer.h
+++ b/modules/gateway/callers/CallerServer.h
@@ -7,6 +7,7 @@
 #include <gateway/callers/ConnectionLimiter.h>
 #include <gateway/callers/PendingRequest.h>
 #include <gateway/http/GatewayError.h>
+#include <loop/timers/Timer.h>
 
 #include <cstdint>
 #include <functional>
@@ -51,8 +52,10 @@
     /// From now on every response carries `Connection: close`.
     void beginClosing() { this->isClosing = true; }
 
-    /// Stops accepting connections; open connections are still served.
+    /// Stops taking new connections. Those that are open, or established and not accepted yet, are still served; the
+    /// listening socket closes once none waits to be accepted.
     void closeListener();
+    bool isListening() const { return this->socket; }
 
     /// The pending request, or null if it has been answered or its caller has disconnected.
     PendingRequest* findPending(const RequestId&);
@@ -64,6 +67,7 @@
     int connectionCount() const { return this->limiter.connectionCount(); }
 
 private:
+    void closeDrainedListener();
     void handleRequest(evhttp_request&);
     void acceptRequest(evhttp_request&, const std::string& queue);
     void watchForClose(evhttp_connection*);
@@ -79,6 +83,7 @@
     ConnectionLimiter limiter;
     EventPointer<evhttp> server;
     evhttp_bound_socket* socket = nullptr;
+    Timer drainTimer;
     bool isClosing = false;
     std::uint64_t nextRequestNumber = 1;
     std::size_t heldBodyBytes = 0;
--- a/modules/gateway/tests/CallerServerTests.cpp
+++ b/modules/gateway/tests/CallerServerTests.cpp
@@ -9,6 +9,7 @@
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <optional>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 #include <vector>
@@ -20,15 +21,21 @@
 constexpr int basePort = 24000;
 constexpr int portRange = 900;
 
+sockaddr_in loopbackAddress(std::uint16_t port)
+{
+    sockaddr_in address {};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(port);
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    return address;
+}
+
 /// A caller's TCP connection that sends and receives unparsed bytes.
 class RawCaller {
 public:
     explicit RawCaller(std::uint16_t port)
     {
-        sockaddr_in address {};
-        address.sin_family = AF_INET;
-        address.sin_port = htons(port);
-        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        auto address = loopbackAddress(port);
         BOOST_REQUIRE(connect(this->socket, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0);
     }
 
@@ -91,6 +98,18 @@
         BOOST_REQUIRE(arrivedInTime);
     }
 
+    /// Whether the kernel establishes a new connection by itself, before the server accepts it.
+    bool isConnectedAtOnce() const
+    {
+        int caller = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+        auto address = loopbackAddress(this->port);
+        BOOST_REQUIRE(connect(caller, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == -1);
+        pollfd state { caller, POLLOUT, 0 };
+        bool isConnected = poll(&state, 1, 50) == 1;
+        close(caller);
+        return isConnected;
+    }
+
     void awaitClose(RawCaller& caller)
     {
         BOOST_REQUIRE(this->loop.runUntil([&caller] { return caller.receive(); }));
@@ -130,6 +149,18 @@
     BOOST_TEST(this->answered == 1);
 }
 
+BOOST_AUTO_TEST_CASE(closingTheListenerBreaksNoConnectionThatWaitsToBeAccepted)
+{
+    RawCaller caller(this->port);
+    caller.send(toPost("", "x"));
+    this->server.closeListener();
+    BOOST_TEST(!this->isConnectedAtOnce());
+    this->awaitArrival(1);
+    this->server.answer({ this->arrived[0].request, Outcome::NotRun, OutcomeReason::LimitReached, 0, {}, {} });
+    this->awaitResponse(caller, "Greengage-Outcome: not_run");
+    BOOST_REQUIRE(this->loop.runUntil([this] { return !this->server.isListening(); }));
+}
+
 BOOST_AUTO_TEST_CASE(outcomesAreDistinguishedByStatusAndHeader)
 {
     RawCaller caller(this->port);
--- a/modules/gateway/traffic/Gateway.h
+++ b/modules/gateway/traffic/Gateway.h
@@ -37,6 +37,7 @@
     Result<void, GatewayError> listen(std::uint16_t callersPort);
     void beginClosing() { this->callers.beginClosing(); }
     void closeListener() { this->callers.closeListener(); }
+    bool isListening() const { return this->callers.isListening(); }
 
     void send(const SendAttempt&);
     void answer(const AnswerCaller&);
