standins: a caller waits for the outcome of its last attempt

Callers that leave an attempt after attempt_ms for another daemon also left the last one, after which no other can be tried before the deadline.

The last attempt is now waited for like one without attempt_ms. Attempts are left and repeated at the same times as before; outcomes that come late are now recorded and checked ("not run" that had started, second starts).

Not mended: a caller that itself stands still past its deadline still leaves its attempt.

--- a/tests/proofs/AtMostOnceTests.cpp
+++ b/tests/proofs/AtMostOnceTests.cpp
@@ -9,6 +9,8 @@
 constexpr Milliseconds failureInterval { 1200 };
 /// Longer than every lease and every serving permission of a daemon.
 constexpr Milliseconds longFreeze { 12000 };
+/// Longer than the deadlines of the requests, shorter than their callers wait for an outcome.
+constexpr Milliseconds commonFreeze { 5000 };
 const std::vector<std::string> loads { "queue=orders rate=40 run_ms=150 deadline_ms=4000",
     "queue=quotes rate=20 run_ms=50 deadline_ms=4000" };
 /// Callers that retry at another daemon, with the same idempotency key, long before the deadline of their request.
@@ -117,4 +119,18 @@
     proof.requireClean();
 }
 
+/// Every daemon stands still past the deadlines of the requests that it holds, and answers them when it resumes.
+BOOST_AUTO_TEST_CASE(daemonsFrozenAtOnceLoseNothing)
+{
+    ProofSite proof(SitePlan::small());
+    proof.site.startCallers("callers", earlyRetryLoads, loadDuration);
+    ProofSite::pause(failureInterval);
+    for (int signal : { SIGSTOP, SIGCONT }) {
+        for (std::size_t index = 0; index < 4; ++index)
+            proof.site.daemon(index).signal(signal);
+        ProofSite::pause(commonFreeze);
+    }
+    proof.requireClean();
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/standins/caller/CallerLoad.h
+++ b/tests/standins/caller/CallerLoad.h
@@ -20,7 +20,8 @@
     /// Mean run time of the work. Each submission draws its run time uniformly from half to one and a half times this.
     int runMilliseconds = 20;
     Milliseconds deadline { 3000 };
-    /// How long a caller waits for one attempt before it tries another daemon; zero to wait until the deadline.
+    /// How long a caller waits for one attempt before it tries another daemon; zero to wait until the deadline. An
+    /// attempt that no other can follow before the deadline is waited for like one without a limit.
     Milliseconds attemptLimit {};
     std::size_t bodyBytes = 300;
     std::size_t answerBytes = 600;
--- a/tests/standins/tests/CallerTests.cpp
+++ b/tests/standins/tests/CallerTests.cpp
@@ -38,6 +38,7 @@
         options.loads = { CallerLoad::parse("queue=quotes team=booking bearer=k1.secret rate=100").value() };
         options.loads[0].idempotent = idempotent;
         options.loads[0].attemptLimit = this->attemptLimit;
+        options.loads[0].deadline = this->deadline;
         options.historyPath = this->path.string();
         options.duration = Milliseconds(200);
         CallerProcess process(this->loop, options);
@@ -71,6 +72,7 @@
     std::vector<std::string> keys;
     std::vector<std::string> bearers;
     Milliseconds attemptLimit {};
+    Milliseconds deadline { 3000 };
     int attempts = 0;
     int submitted = 0;
     HttpService daemon;
@@ -144,6 +146,32 @@
     BOOST_TEST(verdict.brokenAttempts == this->submitted);
 }
 
+BOOST_AUTO_TEST_CASE(losesNoOutcomeThatComesAtTheDeadlineOfItsLastAttempt)
+{
+    this->attemptLimit = Milliseconds(300);
+    this->deadline = Milliseconds(500);
+    this->behave = [this](evhttp_request* request) {
+        if (HttpReplies::body(request).find(".1 ") != std::string::npos)
+            return;
+        this->loop.callLater(Milliseconds(400), [this, request] { this->answer(request, "unknown", 504, "{}"); });
+    };
+    auto verdict = this->run(false);
+    BOOST_TEST(verdict.isClean(), verdict.summary());
+    BOOST_TEST(verdict.unknown == this->submitted);
+    BOOST_TEST(verdict.brokenAttempts == this->submitted);
+}
+
+/// An attempt that is waited for is given up in the end, and its submission counts as lost.
+BOOST_AUTO_TEST_CASE(countsASubmissionAsLostThatNoDaemonAnswers)
+{
+    this->attemptLimit = Milliseconds(300);
+    this->deadline = Milliseconds(500);
+    this->behave = [](evhttp_request*) {};
+    auto verdict = this->run(false);
+    BOOST_TEST(verdict.count(HistoryViolation::Lost) == this->submitted);
+    BOOST_TEST(verdict.brokenAttempts == 2 * this->submitted);
+}
+
 BOOST_AUTO_TEST_CASE(refusesLoadsThatItCannotRead)
 {
     BOOST_TEST(!CallerLoad::parse("team=booking").has_value());
