takeovers: check what released a task's earlier run, at each start

A double run needs a wrong release and an unlucky moment. The model now looks at each start of a task that has run before: no worker may run an earlier run, and no start order that is held up, or queued in a process that stands still, may still start one by what the worker holds then. Each finding is a violation, and the summary counts the starts by the reason of the release.

A process can stand still between a start order and the time at which it leaves.

--- a/modules/coordinator/placing/Coordinator.h
+++ b/modules/coordinator/placing/Coordinator.h
@@ -58,6 +58,13 @@
     void resign() { this->leadership.resign(); }
     bool isLeader() const { return this->leadership.isLeader(); }
 
+    /// What this leader knows of the end of the task's latest attempt that has been released; null if it released none.
+    const FormerAttempt* formerAttempt(const TaskName& task)
+    {
+        TaskRow* row = this->session ? this->session->tables.findTask(task) : nullptr;
+        return row && row->former ? &*row->former : nullptr;
+    }
+
     /// Brings the job tables back into order after an error that left them in doubt: the leadership is handed over, and
     /// the next leader loads them anew. A job that was worked on is set aside for a while, so that it holds up no other
     /// job if the error comes again.
--- a/tests/takeovers/ModelDaemon.h
+++ b/tests/takeovers/ModelDaemon.h
@@ -13,10 +13,10 @@
 /// One incarnation of a daemon of the model.
 struct ModelDaemon {
     ModelDaemon(event_base& base, ModelTables& tables, std::mt19937_64& random, FakeWorkers& workers, FakeLink& network,
-        ModelLink::Faults& faults, ModelLink::OnLease onLease, const DaemonId& id, const IncarnationId& incarnation,
-        const CoordinatorLimits& limits)
+        ModelLink::Faults& faults, ReleaseCheck& releases, ModelLink::OnLease onLease, ModelLink::OnStart onStart,
+        const DaemonId& id, const IncarnationId& incarnation, const CoordinatorLimits& limits)
         : store(tables, random)
-        , link(base, workers, network, faults, random, std::move(onLease))
+        , link(base, workers, network, faults, random, releases, std::move(onLease), std::move(onStart))
         , vms(base)
         , advice(base)
         , coordinator(base, this->store, this->link, this->vms, this->advice, id, incarnation, limits)
--- a/tests/takeovers/ModelWorld.cpp
+++ b/tests/takeovers/ModelWorld.cpp
@@ -34,6 +34,10 @@
 
 ModelWorld::ModelWorld(std::uint64_t seed, std::size_t daemonCount)
     : random(seed * 1000 + daemonCount)
+    , releases(
+          this->workers,
+          [this](const WorkerId& id) { return this->lostWorkers.contains(id) && !this->cutOffWorkers.contains(id); },
+          [this](std::int64_t token) { return this->isInOffice(token); })
     , seed(seed)
     , base(event_base_new())
     , network(*this->base, this->workers)
@@ -49,7 +53,7 @@
         this->checkRoom(id, order);
         if (!fault)
             return;
-        if (this->holdsCallsUp && !this->workers.workers[id].isRenewed) {
+        if (this->holdsCallsUp && (!this->workers.workers[id].isRenewed || this->releases.isExcused(order))) {
             this->startsBeforeTheFirstRenewal += 1;
             this->workers.startedTwice.clear();
             return;
@@ -98,8 +102,11 @@
     this->limits.cpuMillis = index % 2 ? 500 : 1000;
     IncarnationId incarnation(std::to_string(this->incarnations));
     this->daemons[index] = std::make_unique<ModelDaemon>(
-        *this->base, this->tables, this->random, this->workers, this->network, this->workerFaults,
+        *this->base, this->tables, this->random, this->workers, this->network, this->workerFaults, this->releases,
         [this](const WorkerId& worker, std::int64_t token) { this->handleLease(worker, token); },
+        [this, index](const WorkerId& worker, const StartAttempt& order) {
+            this->checkRelease(*this->daemons[index], worker, order);
+        },
         ModelWorld::idOf(index), incarnation, this->limits);
     ModelDaemon& daemon = *this->daemons[index];
     daemon.vms.vms = this->vms;
@@ -509,6 +516,23 @@
     this->workers.startedTwice.clear();
 }
 
+void ModelWorld::checkRelease(ModelDaemon& daemon, const WorkerId& worker, const StartAttempt& order)
+{
+    const FormerAttempt* former = daemon.coordinator.formerAttempt(order.task);
+    std::string reason(former ? nameOf(former->reason) : "an_earlier_leader");
+    if (auto wrong = this->releases.check(worker, order, reason))
+        this->violate(*wrong, order.fencingToken);
+}
+
+bool ModelWorld::isInOffice(std::int64_t token) const
+{
+    return std::none_of(this->terms.begin(), this->terms.end(), [token](const SeenTerm& term) {
+        return term.token > token;
+    }) && std::none_of(this->daemons.begin(), this->daemons.end(), [token](const auto& daemon) {
+        return daemon && daemon->coordinator.isLeader() && daemon->token() > token;
+    });
+}
+
 void ModelWorld::checkLeases(std::int64_t token)
 {
     Instant now = BootClock::now();
--- a/tests/takeovers/ModelWorld.h
+++ b/tests/takeovers/ModelWorld.h
@@ -89,6 +89,7 @@
     /// renewal reaches it may repeat a task: nothing in the order names the incarnation that it was sent to.
     bool holdsCallsUp = false;
     std::size_t startsBeforeTheFirstRenewal = 0;
+    ReleaseCheck releases;
     /// What happens to the calls to each worker.
     ModelLink::Faults workerFaults;
 
@@ -111,6 +112,10 @@
     void noteTerms();
     void checkOrders(ModelDaemon& daemon);
     void handleLease(const WorkerId& id, std::int64_t token);
+    /// Whether no later leader than that of the token has begun.
+    bool isInOffice(std::int64_t token) const;
+    /// Checks that what released the earlier run of the task was right.
+    void checkRelease(ModelDaemon&, const WorkerId&, const StartAttempt&);
     /// Checks that no lease is left of those that leaders before this one have granted.
     void checkLeases(std::int64_t token);
     void checkRoom(const WorkerId&, const StartAttempt&);
--- a/tests/takeovers/Process.h
+++ b/tests/takeovers/Process.h
@@ -8,6 +8,8 @@
 struct Process {
     bool isKilled = false;
     Instant frozenUntil { Instant::min() };
+    /// How long it stands still between its next start order and the time at which this leaves; zero for not at all.
+    Milliseconds standstillAtStart { 0 };
 
     bool isFrozen(Instant now) const { return now < this->frozenUntil; }
 };
--- a/tests/takeovers/TakeoverTests.cpp
+++ b/tests/takeovers/TakeoverTests.cpp
@@ -18,12 +18,18 @@
     std::size_t startsBeforeTheFirstRenewal = 0;
     std::vector<Milliseconds> gaps;
     std::vector<std::string> violations;
+    std::map<std::string, ReleaseCheck::Count> releases;
 
     void add(const ModelWorld& world)
     {
         this->takeovers += world.takeovers;
         this->restarts += world.restarts;
         this->startsBeforeTheFirstRenewal += world.startsBeforeTheFirstRenewal;
+        for (const auto& [reason, count] : world.releases.counts) {
+            this->releases[reason].starts += count.starts;
+            this->releases[reason].wrong += count.wrong;
+            this->releases[reason].beforeTheFirstRenewal += count.beforeTheFirstRenewal;
+        }
         this->gaps.insert(this->gaps.end(), world.gaps.begin(), world.gaps.end());
         this->violations.insert(this->violations.end(), world.violations.begin(), world.violations.end());
     }
@@ -42,6 +48,11 @@
                   << " violations; without a leader " << this->gaps.size() << " times, ms: median " << this->gapAt(500)
                   << ", 90% " << this->gapAt(900) << ", 99% " << this->gapAt(990) << ", longest " << this->gapAt(1000)
                   << std::endl;
+        std::cout << "  starts after a release, wrong, wrong before the first renewal:";
+        for (const auto& [reason, count] : this->releases)
+            std::cout << ' ' << reason << ' ' << count.starts << '/' << count.wrong << '/'
+                      << count.beforeTheFirstRenewal;
+        std::cout << std::endl;
         for (std::size_t index = 0; index < std::min(this->violations.size(), printedViolations); ++index)
             std::cout << "  " << this->violations[index] << std::endl;
     }
