--- a/modules/coordinator/tests/FormerRunTests.cpp
+++ b/modules/coordinator/tests/FormerRunTests.cpp
@@ -98,6 +98,30 @@
     BOOST_TEST(this->workers.startedJobs.contains(JobId("lasting")));
 }
 
+/// Guards against a task that runs twice at once: the next leader adopts an older run of it from the first report of a
+/// worker, and forgets the stored placement on one that it cannot reach.
+BOOST_AUTO_TEST_CASE(anOlderRunInTheFirstReportHidesNoStoredPlacement)
+{
+    this->workers.longestLease = FakeDaemon::longestGrantedLease;
+    this->workers.taskLength = Milliseconds(20'000);
+    TaskName task { JobId("lasting"), 0, 0, 0 };
+    this->submit(*this->first, this->job("lasting", 1));
+    BOOST_REQUIRE(this->runUntil([this] { return this->workers.starts == 2U; }));
+    this->runFor(Milliseconds(300));
+    WorkerId placed = this->busiestWorker();
+    WorkerId other(placed == WorkerId("w1") ? "w2" : "w1");
+    // As if it were being stopped.
+    auto& older = this->workers.workers[other];
+    older.running[task] = { 1, FakeWorkers::clockOf(older) + 20'000 };
+    this->handOverWithout(placed);
+    this->runFor(Milliseconds(200));
+    this->workers.endTask(other, task, EndKind::Stopped);
+    this->runFor(Milliseconds(1500));
+    BOOST_TEST(this->workers.startedTwice.empty());
+    BOOST_TEST(this->runUntil([this] { return this->workers.starts == 3U; }, Milliseconds(12'000)));
+    BOOST_TEST(this->workers.startedTwice.empty());
+}
+
 /// Guards against a task that starts again after it is done: a probe shows the restart, and the next renewal
 /// acknowledges ends of the former incarnation to the new one.
 BOOST_AUTO_TEST_CASE(endsAreNotAcknowledgedOnceAProbeHasReachedALaterIncarnation)
