coordinator: an unreadable roster does not prove that unknown workers have ended

If the stored roster could not be read, all tasks on workers that the directory did not list started elsewhere at once.

Cause: that a worker is on no roster proves that an earlier leader gave it up. That holds only for a roster that was read.

Why it works: such a worker gets a row without an address, whose attempts wait for the longest lease, and no worker's lease is taken for the known one. A readable roster changes nothing.

--- a/modules/coordinator/placing/LeaseManager.h
+++ b/modules/coordinator/placing/LeaseManager.h
@@ -424,7 +424,7 @@
         if (auto found = told.find(worker.info.id); found != told.end())
             lease = { std::min(lease.known, found->second.known), std::min(lease.longest, found->second.longest) };
         // The incarnation that runs may be another one than the earlier leaders knew.
-        if (worker.hasRestarted)
+        if (worker.hasRestarted || this->tables.isRosterUnreadable)
             lease.known = lease.longest;
         return lease;
     }
--- a/modules/coordinator/placing/WorkerRosterManager.h
+++ b/modules/coordinator/placing/WorkerRosterManager.h
@@ -63,6 +63,7 @@
             auto record = WorkerRosterRecord::decode(result.value()->value);
             if (!record) {
                 writeLog(LogLevel::Error, LogLine("stored_worker_roster_unreadable"));
+                this->tables.isRosterUnreadable = true;
                 return;
             }
             for (auto& info : record->workers) {
--- a/modules/coordinator/tests/FormerRunTests.cpp
+++ b/modules/coordinator/tests/FormerRunTests.cpp
@@ -98,6 +98,21 @@
     BOOST_TEST(this->workers.startedJobs.contains(JobId("lasting")));
 }
 
+/// Guards against a task that runs twice at once: a worker that is on no readable roster and in no directory counts as
+/// one that holds no lease.
+BOOST_AUTO_TEST_CASE(tasksOfUnknownWorkersWaitForTheLongestLeaseIfTheRosterIsUnreadable)
+{
+    this->workers.longestLease = FakeDaemon::longestGrantedLease;
+    this->workers.taskLength = Milliseconds(20'000);
+    this->submit(*this->first, this->job("lasting", 1));
+    BOOST_REQUIRE(this->runUntil([this] { return this->workers.starts == 2U; }));
+    this->runFor(Milliseconds(300));
+    this->tables.items[StoreKeys::workerRoster].value = "{}";
+    this->handOverWithout(this->busiestWorker());
+    BOOST_TEST(this->runUntil([this] { return this->workers.starts == 3U; }, Milliseconds(12'000)));
+    BOOST_TEST(this->workers.startedTwice.empty());
+}
+
 /// Guards against a task that runs twice at once: the next leader adopts an older run of it from the first report of a
 /// worker, and forgets the stored placement on one that it cannot reach.
 BOOST_AUTO_TEST_CASE(anOlderRunInTheFirstReportHidesNoStoredPlacement)
--- a/modules/jobs/tables/JobTables.cpp
+++ b/modules/jobs/tables/JobTables.cpp
@@ -186,6 +186,8 @@
         if (!row || row->phase != TaskPhase::Waiting)
             continue;
         row->run = placement.run;
+        if (!worker && this->isRosterUnreadable)
+            worker = &this->addUnknownWorker(placement.worker);
         // A worker that is neither in the directory nor on the stored worker roster holds no lease any more.
         if (!worker) {
             row->former = FormerAttempt { placement.worker, placement.run, ReleaseReason::WorkerUnknown, {}, now };
@@ -206,6 +208,15 @@
     }
 }
 
+WorkerRow& JobTables::addUnknownWorker(const WorkerId& id)
+{
+    WorkerRow& worker = this->workers[id];
+    worker.info.id = id;
+    worker.isListed = false;
+    worker.isSuspect = true;
+    return worker;
+}
+
 Attempt& JobTables::beginAttempt(
     WorkerRow& worker, JobRow& job, const TaskName& task, std::uint32_t run, AttemptPhase phase, Instant now)
 {
--- a/modules/jobs/tables/JobTables.h
+++ b/modules/jobs/tables/JobTables.h
@@ -38,6 +38,9 @@
     Deadline inheritedLongestLeasesExpire;
     /// What the leaders before have told of their orders.
     OpenOrders openOrders;
+    /// Whether the last leader's worker roster could not be read. Then workers may run attempts that neither the
+    /// directory nor the roster names, and any may have started again.
+    bool isRosterUnreadable = false;
 
     /// Adds a job. Returns false if the tables have it already or it has ended.
     bool addJob(JobRecord, const JobProgress&);
@@ -68,8 +71,9 @@
     /// Whether tasks of the step can start: the steps that it depends on are done, and the occurrence is due.
     bool isReady(const JobRow&, const OccurrenceRow&, std::uint32_t step, std::int64_t nowUnixMs) const;
 
-    /// Restores the placements that an earlier leader stored, for workers that are still known. Each such task counts
-    /// as started until its worker reports otherwise or has ended, or the worker's lease has expired.
+    /// Restores the placements that an earlier leader stored, for workers that are still known, and for all if the
+    /// roster is unreadable. Each such task counts as started until its worker reports otherwise or has ended, or the
+    /// worker's lease has expired.
     void restorePlacements(JobRow&, const std::map<TaskName, TaskPlacement>&, Instant now);
 
     /// Adds an attempt of a waiting task on a worker.
@@ -146,6 +150,8 @@
     }
 
 private:
+    /// Adds a worker of which only the id is known.
+    WorkerRow& addUnknownWorker(const WorkerId&);
     /// Releases the attempts and orphaned attempts for which `hasEnded(attempt)` holds. Returns how many.
     template <typename Condition>
     std::size_t releaseAttemptsIf(WorkerRow&, ReleaseReason, Instant now, Condition hasEnded);
