takeovers: play chains of leaders that reach other workers each

New faults in the model: leaders in a row, planned and lost, each cut off from other workers; workers that start again in between; store writes that are late; leaders that stand still between a start order and the time at which it leaves; and connections to workers that are reset soon after a change of leader, while ends are being stored.

--- a/tests/takeovers/ModelLink.h
+++ b/tests/takeovers/ModelLink.h
@@ -106,7 +106,9 @@
             carryOut(this->fake, std::move(callback));
             return;
         }
-        loop.schedule(callTimeout, loop.running(), [callback, noAnswer] { callback(noAnswer); });
+        bool failsAtOnce = !isReached && faults.isResetting;
+        loop.schedule(
+            failsAtOnce ? Milliseconds(1) : callTimeout, loop.running(), [callback, noAnswer] { callback(noAnswer); });
         if (!isReached)
             return;
         Milliseconds delay(isHeldUp ? 2000 + this->random() % 10'000 : 0);
--- a/tests/takeovers/TakeoverPlay.cpp
+++ b/tests/takeovers/TakeoverPlay.cpp
@@ -99,6 +99,83 @@
     this->world.runFor(this->between(500, 4000));
 }
 
+void TakeoverPlay::playChains(std::size_t rounds)
+{
+    this->world.runUntil([this] { return this->world.actingLeader(); }, Seconds(10));
+    this->world.submitJob(4);
+    this->world.runFor(Seconds(3));
+    for (std::size_t round = 0; round < rounds; ++round)
+        this->playRoundOfChains();
+}
+
+void TakeoverPlay::playRoundOfChains()
+{
+    if (this->happens(30)) {
+        for (auto& daemon : this->world.daemons) {
+            if (daemon)
+                *daemon->store.faults = { false, false, 10, 30, 20, Milliseconds(0) };
+        }
+    }
+    std::size_t leaders = 3 + this->world.random() % 6;
+    for (std::size_t number = 0; number < leaders; ++number) {
+        if (this->happens(40)) {
+            for (auto& daemon : this->world.daemons) {
+                if (daemon)
+                    daemon->link.fake.unreachable.clear();
+            }
+            this->cutWorkers();
+        }
+        this->world.submitShortJob(1 + this->world.random() % 4, this->between(300, 6000));
+        if (this->happens(30))
+            this->haltLeader();
+        this->world.runFor(this->between(10, 600));
+        if (this->happens(35))
+            TakeoverPlay::later(this->between(0, 1500),
+                [this] { this->harmWorker(WorkerId("w" + std::to_string(this->world.random() % 4))); });
+        if (this->happens(60))
+            this->handOver();
+        else
+            this->harmLeader();
+        if (this->happens(40))
+            this->resetWorkersAfterChange();
+        this->world.runFor(this->between(50, 3000));
+    }
+    this->world.runFor(Seconds(10));
+    this->healAll();
+    this->world.runCalmly(Seconds(9));
+}
+
+void TakeoverPlay::resetWorkersAfterChange()
+{
+    this->world.runUntil([this] { return !this->world.actingLeader(); }, Seconds(3));
+    for (auto& daemon : this->world.daemons) {
+        if (!daemon)
+            continue;
+        auto faults = daemon->store.faults;
+        faults->commitDelay = this->between(50, 300);
+        TakeoverPlay::later(Seconds(3), [faults] { faults->commitDelay = Milliseconds(0); });
+    }
+    for (int failure = 0; failure < 3; ++failure)
+        this->world.failTask();
+    this->world.runUntil([this] { return this->world.actingLeader(); }, Seconds(3));
+    this->world.submitShortJob(4, this->between(300, 6000));
+    this->world.runFor(this->between(1, 400));
+    for (const auto& id : this->world.workersInTouch()) {
+        if (!this->happens(50))
+            continue;
+        auto& faults = this->world.workerFaults[id];
+        faults.isDown = true;
+        faults.isResetting = true;
+        TakeoverPlay::later(this->between(3000, 9000), [&faults] { faults.isDown = faults.isResetting = false; });
+    }
+}
+
+void TakeoverPlay::haltLeader()
+{
+    if (ModelDaemon* leader = this->world.actingLeader())
+        leader->process->standstillAtStart = this->between(400, 9000);
+}
+
 void TakeoverPlay::handOver()
 {
     // A majority stays that can lead.
--- a/tests/takeovers/TakeoverPlay.h
+++ b/tests/takeovers/TakeoverPlay.h
@@ -22,13 +22,22 @@
     /// Plays chains of planned hand-overs after workers were lost or cut off, around start orders without an answer.
     void playHandOvers(std::size_t rounds);
 
+    /// Plays chains of leaders, planned and lost ones, each of which reaches other workers, with workers that start
+    /// again, writes that are late, and leaders that stand still between an order and the time at which it leaves.
+    void playChains(std::size_t rounds);
+
     ModelWorld world;
 
 private:
     void playRound();
     void playRoundOfRestarts();
     void playRoundOfHandOvers();
+    void playRoundOfChains();
     void handOver();
+    /// Resets the connections to workers soon after the next leader has begun, while ends are being stored.
+    void resetWorkersAfterChange();
+    /// Has the leader stand still when it sends its next start order.
+    void haltLeader();
     /// Ends a worker, or cuts it off until the end of the round, and has tasks start just before and after.
     void takeAwayWorker(bool mayBeCutOff);
     void harmWorker(const WorkerId&);
--- a/tests/takeovers/TakeoverTests.cpp
+++ b/tests/takeovers/TakeoverTests.cpp
@@ -116,6 +116,22 @@
     BOOST_TEST(summary.violations.empty());
 }
 
+/// Plays chains of leaders that reach other workers each until there were `atLeast` take-overs.
+void playChains(std::size_t daemons, std::size_t atLeast, bool holdsCallsUp)
+{
+    startLog(std::getenv("GREENGAGE_PLAY_LOG") ? LogLevel::Info : LogLevel::Error);
+    constexpr std::size_t roundsPerSeed = 3;
+    Summary summary;
+    for (std::uint64_t seed = firstSeed(); summary.takeovers < atLeast; ++seed) {
+        TakeoverPlay play(seed, daemons);
+        play.world.holdsCallsUp = holdsCallsUp;
+        play.playChains(roundsPerSeed);
+        summary.add(play.world);
+    }
+    summary.print(daemons);
+    BOOST_TEST(summary.violations.empty());
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(Takeovers)
@@ -137,4 +153,11 @@
     playHandOvers(7, 3 * takeoversWanted());
 }
 
+/// Guards against leases and orders that are told at a hand-over, or sent after a standstill, and taken for over.
+BOOST_AUTO_TEST_CASE(chainsOfLeadersThatReachOtherWorkersRunNoTaskTwice) { playChains(3, 3 * takeoversWanted(), true); }
+BOOST_AUTO_TEST_CASE(chainsOfLeadersThatReachOtherWorkersRunNoTaskTwiceWith7Daemons)
+{
+    playChains(7, 3 * takeoversWanted(), true);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/takeovers/WorkerFaults.h
+++ b/tests/takeovers/WorkerFaults.h
@@ -8,6 +8,8 @@
 struct WorkerFaults {
     /// The worker is down, or cut off: no call arrives.
     bool isDown = false;
+    /// Calls that do not arrive fail at once, as on a connection that is reset, instead of at the end of their time.
+    bool isResetting = false;
     /// Calls arrive and are carried out, but no answer returns.
     bool losesAnswers = false;
     /// The share of calls, in percent, that get no answer and are carried out after 2 to 12 s, by whichever incarnation
