takeovers: a double run by an order that came late is counted apart only as before

The check of releases had widened what a play with held-up calls counts apart to a late run that came first.

--- a/tests/takeovers/ModelWorld.cpp
+++ b/tests/takeovers/ModelWorld.cpp
@@ -53,7 +53,7 @@
         this->checkRoom(id, order);
         if (!fault)
             return;
-        if (this->holdsCallsUp && (!this->workers.workers[id].isRenewed || this->releases.isExcused(order))) {
+        if (this->holdsCallsUp && !this->workers.workers[id].isRenewed) {
             this->startsBeforeTheFirstRenewal += 1;
             this->workers.startedTwice.clear();
             return;
--- a/tests/takeovers/ReleaseCheck.cpp
+++ b/tests/takeovers/ReleaseCheck.cpp
@@ -54,10 +54,8 @@
                 "an order of run " + std::to_string(sent.order.run) + " is under way to " + sent.worker.string());
     }
     count.wrong += wrong.empty() ? 0 : 1;
-    if (wrong.empty() && isBeforeRenewal) {
+    if (wrong.empty() && isBeforeRenewal)
         count.beforeTheFirstRenewal += 1;
-        this->excused.emplace(order.task, order.run);
-    }
     if (wrong.empty())
         return std::nullopt;
     return order.task.text() + " run " + std::to_string(order.run) + " for " + target.string() + ": released by "
--- a/tests/takeovers/ReleaseCheck.h
+++ b/tests/takeovers/ReleaseCheck.h
@@ -47,9 +47,6 @@
     /// wrong.
     std::optional<std::string> check(const WorkerId&, const StartAttempt&, const std::string& reason);
 
-    /// Whether the start was checked, and an earlier run was alive only by an order that was carried out late.
-    bool isExcused(const StartAttempt& order) const { return this->excused.contains({ order.task, order.run }); }
-
     /// By the reasons of the releases.
     std::map<std::string, Count> counts;
 
@@ -72,7 +69,6 @@
     std::map<TaskName, std::uint32_t> latestRuns;
     /// The incarnations that leaders in office have renewed.
     std::set<std::pair<WorkerId, std::int64_t>> known;
-    std::set<std::pair<TaskName, std::uint32_t>> excused;
     /// Runs that began by an order that came late to an incarnation that is not known.
     std::set<std::tuple<WorkerId, TaskName, std::uint32_t>> lateStarts;
 };
