coordinator: a changed address of a worker is stored on the roster

A worker's entry got another address without a new start time. The next leader, for which the directory did not list the worker, called the former address; where another worker answered there, the tasks started elsewhere at once.

Cause: the roster was written again only for another incarnation.

Why it works: the stored address counts like the start time, so that a worker gets no further task until the roster names where it is.

--- a/modules/coordinator/placing/WorkerRosterManager.h
+++ b/modules/coordinator/placing/WorkerRosterManager.h
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <map>
 #include <memory>
+#include <string>
 #include <vector>
 
 namespace Greengage {
@@ -47,6 +48,16 @@
     }
 
 private:
+    /// What the next leader has to know of a worker: at a former address, another worker may answer.
+    struct StoredWorker {
+        std::int64_t incarnationUnixMs = 0;
+        std::string address;
+        std::uint16_t port = 0;
+
+        static StoredWorker of(const WorkerInfo& info) { return { info.incarnationUnixMs, info.address, info.port }; }
+        bool operator==(const StoredWorker&) const = default;
+    };
+
     void load()
     {
         this->isUnderWay = true;
@@ -83,40 +94,40 @@
 
     bool hasChanged() const
     {
-        if (this->isWriteOpen || this->storedIncarnations.size() != this->tables.workers.size())
+        if (this->isWriteOpen || this->storedWorkers.size() != this->tables.workers.size())
             return true;
         return !std::all_of(this->tables.workers.begin(), this->tables.workers.end(),
             [this](const auto& entry) { return this->isStored(entry.second); });
     }
 
-    /// Whether the stored roster certainly names the worker's current incarnation.
+    /// Whether the stored roster certainly names the worker's current incarnation and address.
     bool isStored(const WorkerRow& worker) const
     {
-        auto found = this->storedIncarnations.find(worker.info.id);
-        return found != this->storedIncarnations.end() && found->second == worker.info.incarnationUnixMs;
+        auto found = this->storedWorkers.find(worker.info.id);
+        return found != this->storedWorkers.end() && found->second == StoredWorker::of(worker.info);
     }
 
     void save()
     {
         WorkerRosterRecord record;
-        std::map<WorkerId, std::int64_t> incarnations;
+        std::map<WorkerId, StoredWorker> written;
         for (const auto& [id, worker] : this->tables.workers) {
             record.workers.push_back(worker.info);
             if (worker.hasRestarted)
                 record.restarted.insert(id);
-            incarnations.emplace(id, worker.info.incarnationUnixMs);
+            written.emplace(id, StoredWorker::of(worker.info));
         }
         KvCommit commit { { this->leadership.condition(), { StoreKeys::workerRoster, this->revision } },
             { { StoreKeys::workerRoster, record.encode() } }, {} };
         this->isUnderWay = true;
         // From now on, this roster may be stored or the one before.
         this->isWriteOpen = true;
-        std::erase_if(this->storedIncarnations, [&incarnations](const auto& entry) {
-            auto found = incarnations.find(entry.first);
-            return found == incarnations.end() || found->second != entry.second;
+        std::erase_if(this->storedWorkers, [&written](const auto& entry) {
+            auto found = written.find(entry.first);
+            return found == written.end() || found->second != entry.second;
         });
         Instant sentAt = BootClock::now();
-        this->store.commit(std::move(commit), [this, alive = this->alive, incarnations, sentAt](auto result) {
+        this->store.commit(std::move(commit), [this, alive = this->alive, written, sentAt](auto result) {
             if (!*alive)
                 return;
             this->isUnderWay = false;
@@ -130,7 +141,7 @@
             this->leadership.confirm(sentAt, result.value().revision);
             this->revision = result.value().revision;
             this->isWriteOpen = false;
-            this->storedIncarnations = incarnations;
+            this->storedWorkers = written;
             for (auto& [id, worker] : this->tables.workers)
                 worker.isOnRoster = this->isStored(worker);
         });
@@ -145,8 +156,8 @@
     std::int64_t revision = 0;
     /// Whether it is not known if the last write was applied.
     bool isWriteOpen = false;
-    /// The workers that are certainly stored and the start times of their incarnations, in Unix milliseconds.
-    std::map<WorkerId, std::int64_t> storedIncarnations;
+    /// The workers that are certainly stored.
+    std::map<WorkerId, StoredWorker> storedWorkers;
 };
 
 } // namespace Greengage
--- a/modules/coordinator/tests/FakeWorkers.h
+++ b/modules/coordinator/tests/FakeWorkers.h
@@ -168,6 +168,8 @@
 
     /// Workers that this daemon cannot reach.
     std::set<WorkerId> unreachable;
+    /// Addresses at which another worker answers.
+    std::set<std::string> replacedAddresses;
     /// How many of the next start orders, and of the next renewals, are lost.
     int loseStarts = 0;
     /// How many of the next start orders are carried out without an answer.
@@ -259,6 +261,11 @@
 
     void renew(const WorkerEndpoint& endpoint, const RenewLease& order, ReportCallback callback)
     {
+        if (this->replacedAddresses.contains(endpoint.address)) {
+            after(this->base, Milliseconds(2),
+                [callback = std::move(callback)] { callback(WorkerFailure::OtherIncarnation); });
+            return;
+        }
         if (this->unreachable.contains(endpoint.id) || this->loseRenewals > 0) {
             this->loseRenewals -= this->loseRenewals > 0 ? 1 : 0;
             after(this->base, order.wait + Milliseconds(50),
--- a/modules/coordinator/tests/WorkerRosterTests.cpp
+++ b/modules/coordinator/tests/WorkerRosterTests.cpp
@@ -62,4 +62,31 @@
     BOOST_TEST(this->runUntil([this] { return this->workers.starts == 1U; }, Milliseconds(1000)));
 }
 
+/// Guards against a task that runs twice at once: the next leader knows only the former address of a worker, at which
+/// another one answers.
+BOOST_AUTO_TEST_CASE(aChangedAddressIsStored)
+{
+    this->submit(*this->first, this->job("j", 1));
+    BOOST_REQUIRE(this->runUntil([this] { return this->workers.starts == 1U; }));
+    WorkerId moved = this->busiestWorker();
+    for (auto info : FakeDaemon::directory()) {
+        info.address = "moved";
+        if (info.id == moved)
+            this->first->coordinator.updateWorker(info);
+    }
+    this->runFor(Milliseconds(500));
+    this->second = this->makeDaemon("second", "2");
+    this->second->link.replacedAddresses = { "" };
+    this->second->coordinator.onWorkerWatchNeeded([this](bool) { this->second->coordinator.setWorkers({}); });
+    this->second->coordinator.start();
+    this->first->coordinator.resign();
+    this->runFor(Milliseconds(1500));
+    WorkerInfo other = FakeDaemon::directory()[moved == WorkerId("w1") ? 1 : 0];
+    other.address = "other";
+    this->second->coordinator.updateWorker(other);
+    this->runFor(Milliseconds(1500));
+    BOOST_TEST(this->second->coordinator.isLeader());
+    BOOST_TEST(this->workers.startedTwice.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
