coordinator: the first report to a leader cuts no longest lease short

What callers could see: two runs of one task.

Cause: the bound that puts on leases of earlier leaders at the first report was that of a lease as leaders ask for it, also for a worker that may have started again, or if the roster was unreadable.

Why it works: for such a worker, the known incarnation may hold what any may hold. The wait is no longer than the one of a worker that never answers.

--- a/modules/coordinator/placing/LeaseManager.h
+++ b/modules/coordinator/placing/LeaseManager.h
@@ -416,6 +416,12 @@
         return Deadline::after(now, LeaseManager::longestLeaseOfUnknown(this->longestGrantedLease));
     }
 
+    /// Whether the worker may have started again under earlier leaders, so that it may hold the longest lease.
+    bool mayHaveRestarted(const WorkerRow& worker) const
+    {
+        return worker.hasRestarted || this->tables.isRosterUnreadable;
+    }
+
     /// When the leases expire that earlier leaders may have granted the worker.
     LeaseExpiry inheritedLeaseOf(const WorkerRow& worker) const
     {
@@ -424,7 +430,7 @@
         if (auto found = told.find(worker.info.id); found != told.end())
             lease = { std::min(lease.known, found->second.known), std::min(lease.longest, found->second.longest) };
         // The incarnation that runs may be another one than the earlier leaders knew.
-        if (worker.hasRestarted || this->tables.isRosterUnreadable)
+        if (this->mayHaveRestarted(worker))
             lease.known = lease.longest;
         return lease;
     }
@@ -434,9 +440,10 @@
     void boundInheritedLease(WorkerRow& worker, Instant now)
     {
         LeaseExpiry inherited = this->inheritedLeaseOf(worker);
-        auto known = std::min(inherited.known, Deadline::after(now, LeaseManager::longestLease(this->leaseDuration)));
-        worker.leaseExpires = std::max(worker.leaseExpires, known);
         auto longest = std::min(inherited.longest, this->longestLeaseExpiry(now));
+        auto asked = Deadline::after(now, LeaseManager::longestLease(this->leaseDuration));
+        auto known = this->mayHaveRestarted(worker) ? longest : std::min(inherited.known, asked);
+        worker.leaseExpires = std::max(worker.leaseExpires, known);
         worker.longestLeaseExpires = std::max(worker.longestLeaseExpires, longest);
     }
 
--- a/modules/coordinator/tests/WorkerRestartTests.cpp
+++ b/modules/coordinator/tests/WorkerRestartTests.cpp
@@ -367,6 +367,38 @@
     BOOST_TEST(this->workers.startedTwice.empty());
 }
 
+/// Guards against a longest lease, granted under the last leader, that the next one cuts short with the first report.
+BOOST_AUTO_TEST_CASE(aRestartedWorkerThatIsCutOffRightAfterItsFirstReportHoldsTheLongestLease)
+{
+    this->second = this->makeDaemon("second", "2");
+    this->second->coordinator.onWorkerWatchNeeded(
+        [this](bool) { this->second->coordinator.setWorkers(this->entries()); });
+    this->second->coordinator.start();
+    WorkerId restarted = this->startOnAnIncarnationThatIsNotKnown();
+    this->first->link.loseRenewals = 0;
+    this->listWorkers();
+    this->runFor(Milliseconds(100));
+    this->workers.taskLength = Milliseconds(60'000);
+    JobRecord record = this->job("k", 1);
+    record.spec.steps[0].longRunning = true;
+    this->submit(*this->first, record);
+    TaskName task { JobId("k"), 0, 0, 0 };
+    BOOST_REQUIRE(this->runUntil([&] { return this->workers.workers[restarted].running.contains(task); }));
+    this->runFor(Milliseconds(100));
+    this->second->link.onRenewed = [this, restarted](const WorkerId& id) {
+        if (id == restarted)
+            this->second->link.unreachable.insert(id);
+    };
+    this->first->coordinator.resign();
+    BOOST_REQUIRE(this->runUntil([&] { return this->second->link.unreachable.contains(restarted); }));
+    auto isElsewhere = [&] {
+        return std::any_of(this->workers.workers.begin(), this->workers.workers.end(),
+            [&](const auto& entry) { return entry.first != restarted && entry.second.running.contains(task); });
+    };
+    BOOST_TEST(this->runUntil(isElsewhere, Milliseconds(12'000)));
+    BOOST_TEST(this->workers.startedTwice.empty());
+}
+
 /// Guards against the same when the last order of the leader before is still on its way as the lead is handed over.
 BOOST_AUTO_TEST_CASE(theNextLeaderCountsTheLongestLeaseFromTheArrivalOfTheLastOrder)
 {
