coordinator: a renewal waits for the answers to start orders

Workers were still asked for a report more for every second end: the write that stores an end also stores the start that follows it, so that the renewal left before the start was answered, and acknowledged nothing.

A renewal after a report with ends waits for these answers as it does for the write, within the same 0.3 s since the report.

--- a/modules/coordinator/placing/LeaseManager.h
+++ b/modules/coordinator/placing/LeaseManager.h
@@ -213,7 +213,7 @@
     static constexpr Milliseconds firstRenewalRetry { 100 };
     static constexpr int retriesWithoutPause = 2;
     static constexpr Milliseconds longestRenewalRetry { 1000 };
-    /// The longest time that a renewal waits for a reported end to be stored.
+    /// The longest time that a renewal waits for a reported end to be stored, and for start orders to be answered.
     static constexpr Milliseconds longestRecordWait { 300 };
     /// Delay before a report is requested again while jobs and workers are still being loaded.
     static constexpr Milliseconds incompleteRetry { 25 };
@@ -239,10 +239,11 @@
     {
         for (auto& [id, worker] : this->tables.workers) {
             Renewal& renewal = this->renewals[id];
-            bool hasUnstoredEnds = worker.storedEnds < worker.appliedEnds;
             if (renewal.isUnderWay || (!renewal.next.hasPassed(now)))
                 continue;
-            if (hasUnstoredEnds && now - worker.lastReport < longestRecordWait)
+            // Until then, the renewal would acknowledge not all of the reported ends, or none.
+            bool isEarly = worker.storedEnds < worker.appliedEnds || LeaseManager::awaitsStartAnswer(worker);
+            if (isEarly && now - worker.lastReport < longestRecordWait)
                 continue;
             this->renew(worker, renewal, now);
         }
@@ -271,6 +272,15 @@
             });
     }
 
+    /// Whether ends were reported and the first answer to a start order is due.
+    static bool awaitsStartAnswer(const WorkerRow& worker)
+    {
+        return worker.appliedEnds > 0
+            && std::any_of(worker.attempts.begin(), worker.attempts.end(), [](const auto& entry) {
+                   return entry.second.phase == AttemptPhase::Ordered && entry.second.startOrdersEnded == 0;
+               });
+    }
+
     /// Whether an incarnation of the worker of which no report has told may have carried out a start order, so that it
     /// may have ends that nobody has read.
     bool mayHaveUnreadEnds(const WorkerRow& worker, Instant now) const
