--- a/modules/coordinator/placing/LeaseManager.h
+++ b/modules/coordinator/placing/LeaseManager.h
@@ -272,7 +272,7 @@
             });
     }
 
-    /// Whether ends were reported and the first answer to a start order is due.
+    /// Whether the worker has ever reported an end, and no answer to a start order that was sent to it is known yet.
     static bool awaitsStartAnswer(const WorkerRow& worker)
     {
         return worker.appliedEnds > 0
