--- a/review/common-2/deployment.py
+++ b/review/common-2/deployment.py
@@ -42,7 +42,8 @@
 
 
 class Connection:
-    def __init__(self):
+    def __init__(self, writer):
+        self.writer = writer
         self.is_silent = False
 
 
@@ -88,6 +89,10 @@
         self.listener.listen(200)
         self.accepting = asyncio.ensure_future(self.accept())
 
+    def reset_connections(self):
+        for connection in self.connections:
+            connection.writer.transport.abort()
+
     def silence_open_connections(self):
         """Open connections go silent for good, without a reset; new ones work."""
         for connection in self.connections:
@@ -95,7 +100,7 @@
         return len(self.connections)
 
     async def serve(self, reader, writer):
-        connection = Connection()
+        connection = Connection(writer)
         self.connections.add(connection)
         try:
             while True:
@@ -218,10 +223,14 @@
         self.site, self.id, self.service, self.address, self.port = site, name, service, address, port
         self.cpu, self.labels = cpu, list(labels)
         self.behaviour = behaviour or (lambda task, run: ("done", 1.0))
+        self.chooses_late = lambda task, run: False
         self.server = HttpServer(self.handle)
         self.refuses_starts = False
         self.is_cut_from_store = False
         self.is_in_upkeep = False
+        self.is_down = False
+        # Start orders, as pairs of task and run, of which the first copy gets no answer and is carried out late.
+        self.held_up = {}
         self.seq = 0
         self.begin()
 
@@ -252,6 +261,27 @@
         self.site.keep(self.register())
         self.site.keep(self.expire())
 
+    async def crash(self, seconds, first_entry_s):
+        """The worker falls silent and loses all that it runs. It starts again under its id and address."""
+        self.is_down = True
+        self.server.go_down()
+        for run in self.running.values():
+            if run.timer:
+                run.timer.cancel()
+        self.site.record.add(f"{self.id} has crashed; it ran " + ", ".join(sorted(self.running)))
+        self.running = {}
+        await asyncio.sleep(seconds)
+        self.begin()
+        self.server.reset_connections()
+        self.server.come_back()
+        self.site.record.add(f"{self.id} has started again")
+        self.site.keep(self.register_after(first_entry_s))
+
+    async def register_after(self, seconds):
+        await asyncio.sleep(seconds)
+        self.is_down = False
+        self.site.store.put("servers/" + self.id, self.entry())
+
     async def maintain(self, seconds):
         """The machine has its upkeep; a new minion with another id joins after it."""
         self.is_in_upkeep = True
@@ -265,10 +295,10 @@
     async def register(self):
         silent_since = time.monotonic()
         while True:
-            if not self.is_cut_from_store and not self.is_in_upkeep:
+            if not self.is_cut_from_store and not self.is_in_upkeep and not self.is_down:
                 self.site.store.put("servers/" + self.id, self.entry())
                 silent_since = time.monotonic()
-            elif self.is_cut_from_store and time.monotonic() - silent_since >= 3 * HEARTBEAT_S - 0.01:
+            elif (self.is_cut_from_store or self.is_down) and time.monotonic() - silent_since >= 3 * HEARTBEAT_S - 0.01:
                 self.site.store.apply([], [], ["servers/" + self.id])
             await asyncio.sleep(HEARTBEAT_S)
 
@@ -296,6 +326,8 @@
         if headers.get("x-expect-instance", self.id) != self.id:
             return 421, {}
         call = json.loads(body) if body else {}
+        if target == "/v1/run-start" and self.holds_up(call):
+            return None
         if target == "/v1/pace":
             return 200, {"clock_ms": self.clock()}
         token = call.get("fencing_token", 0)
@@ -310,6 +342,24 @@
             return self.stop_run(call)
         return 404, {}
 
+    def holds_up(self, call):
+        """Whether the order gets no answer. `deliver` carries it out."""
+        key = (call["task"], call["run"])
+        if not self.chooses_late(*key) or key in self.held_up:
+            return False
+        self.held_up[key] = call
+        self.site.record.add(f"{self.id} is sent the start of {key[0]} run {key[1]}, which is held up")
+        return True
+
+    def deliver(self, call):
+        """Carries an order out that was held up."""
+        if call["fencing_token"] < self.token:
+            self.site.record.add(f"{self.id} refuses the start of {call['task']} that was held up")
+            return
+        self.token = call["fencing_token"]
+        status, _ = self.start_run(call)
+        self.site.record.add(f"{self.id} carries out the start of {call['task']} that was held up: {status}")
+
     def extend(self, deadline):
         self.lease_until = max(self.lease_until, min(deadline, self.clock() + BOUNDS["hold_max_ms"]))
 
@@ -427,6 +477,8 @@
         self.acks = {}
         self.refusals = []
         self.machine_orders = []
+        # The first time that a task was seen to run twice at once.
+        self.two_runs = None
         self.maintained = set()
         self.version = 0
 
@@ -445,9 +497,9 @@
         if target.startswith("/v1/machines"):
             return 200, {"machines": [
                 {"machine": "m-" + worker.id, "pool": worker.service,
-                 "state": "upkeep" if worker.is_in_upkeep else "up", "zone": "z1",
+                 "state": "upkeep" if worker.is_in_upkeep else "down" if worker.is_down else "up", "zone": "z1",
                  "labels": worker.labels, "capacity": {"cpu": worker.cpu, "mem_mb": 131072, "gpu": 0},
-                 "id": "" if worker.is_in_upkeep else worker.id} for worker in self.workers], "next_token": ""}
+                 "id": "" if worker.is_in_upkeep or worker.is_down else worker.id} for worker in self.workers], "next_token": ""}
         call = json.loads(body)
         holder, token = headers["x-duty-holder"], int(headers["x-fencing-token"])
         self.machine_orders.append((self.record.now(), call["machine"], holder, token))
@@ -507,6 +559,11 @@
     def on_start(self, worker, run):
         self.starts.append((self.record.now(), worker, run.task, run.run))
         self.record.add(f"{worker.id} runs {run.task} run {run.run}")
+        for other in self.workers:
+            former = other.running.get(run.task)
+            if former and other is not worker and not self.two_runs:
+                self.two_runs = (f"TWICE: {run.task} runs on {worker.id} as run {run.run} while {other.id} has run "
+                                 f"{former.run}")
 
     def on_end(self, worker, run, how):
         self.ends.append((self.record.now(), worker, run.task, run.run, how))
