--- a/modules/coordinator/placing/LeaseManager.h
+++ b/modules/coordinator/placing/LeaseManager.h
@@ -221,6 +221,8 @@
     static constexpr Milliseconds unacknowledgedPause { 25 };
     /// A call to a worker is given up after less than this time, and reaches it until then.
     static constexpr Milliseconds longestCall { 500 };
+    /// A call that got no answer may be carried out this long after it was sent, by any incarnation of the worker.
+    static constexpr Milliseconds longestDelay { 12'000 };
     static constexpr Milliseconds unreadableLinePeriod { 10'000 };
 
     struct Renewal {
@@ -479,13 +481,35 @@
         return this->leaseOf(worker).known.hasPassed(now);
     }
 
-    /// Whether the start orders of all attempts on the worker are as old as a lease, so that none is taken for being
-    /// under way any more. A worker that has ended holds no lease, however long the one that it was granted.
-    bool haveOrdersArrived(const WorkerRow& worker, Instant now) const
+    /// Whether an incarnation of the worker that has not answered yet may still start the attempt, because a copy of
+    /// its order is under way. A long-running task has to run again sooner than such a copy can be ruled out, so its
+    /// order is taken for lost once it is as old as a lease.
+    bool mayStartLate(const Attempt& attempt, Instant now) const
     {
-        Instant latest = now - LeaseManager::longestLease(this->leaseDuration);
-        return std::all_of(worker.attempts.begin(), worker.attempts.end(),
-            [latest](const auto& entry) { return entry.second.orderedAt <= latest; });
+        if (attempt.endsWithVm())
+            return false;
+        if (attempt.isLongRunning)
+            return now - attempt.orderedAt < LeaseManager::longestLease(this->leaseDuration);
+        return now - std::max(attempt.orderedAt, attempt.lastSentAt) < longestDelay;
+    }
+
+    /// Whether the attempt of an unresponsive worker does not run any more and cannot start either.
+    bool isLost(const WorkerRow& worker, const Attempt& attempt, Instant now) const
+    {
+        if (worker.hasEnded)
+            return !this->mayStartLate(attempt, now);
+        if (!this->hasLongestLeaseExpired(worker, now))
+            return this->hasLeaseExpired(worker, now) && attempt.endsWithKnownLease();
+        // After a change of leader, what is not known to be under way is waited for no longer than a lease.
+        return attempt.isLongRunning || !attempt.isSendTimeKnown() || !this->mayStartLate(attempt, now);
+    }
+
+    /// Whether no attempt of an unresponsive worker runs any more or can start.
+    bool areAllLost(const WorkerRow& worker, Instant now) const
+    {
+        return (worker.hasEnded || this->hasLongestLeaseExpired(worker, now))
+            && std::all_of(worker.attempts.begin(), worker.attempts.end(),
+                [&](const auto& entry) { return this->isLost(worker, entry.second, now); });
     }
 
     static bool isUnresponsive(const WorkerRow& worker) { return worker.isSuspect || !worker.isReached; }
@@ -508,24 +532,20 @@
 
     static bool hasAttempts(const WorkerRow& worker) { return !worker.attempts.empty() || !worker.orphans.empty(); }
 
-    /// Releases the attempts of a worker that has ended with its VM, apart from those whose start orders may still be
-    /// under way: a worker that starts again under its id would carry them out.
-    void releaseEnded(WorkerRow& worker, Instant now)
+    static ReleaseReason lossReasonOf(const WorkerRow& worker)
     {
-        if (std::size_t lost = this->tables.releaseEndedAttempts(worker, now))
-            writeLog(LogLevel::Warning,
-                LogLine("worker_ended")
-                    .add("worker", worker.info.id.string())
-                    .add("lost", lost)
-                    .add("unsettled", worker.attempts.size() + worker.orphans.size()));
+        return worker.hasEnded ? ReleaseReason::VmEnded : ReleaseReason::LeaseExpired;
     }
 
-    /// Releases the attempts that only the known incarnation can run, whose lease has expired.
-    void releaseExpired(WorkerRow& worker, Instant now)
+    /// Releases the lost attempts of an unresponsive worker. The others stay: a worker that starts again under its id
+    /// may carry out their start orders.
+    void releaseLost(WorkerRow& worker, Instant now)
     {
-        if (std::size_t lost = this->tables.releaseExpiredAttempts(worker, now))
+        std::size_t lost = this->tables.releaseAttemptsIf(worker, LeaseManager::lossReasonOf(worker), now,
+            [&](const Attempt& attempt) { return this->isLost(worker, attempt, now); });
+        if (lost)
             writeLog(LogLevel::Warning,
-                LogLine("worker_lease_expired")
+                LogLine(worker.hasEnded ? "worker_ended" : "worker_lease_expired")
                     .add("worker", worker.info.id.string())
                     .add("lost", lost)
                     .add("unsettled", worker.attempts.size() + worker.orphans.size()));
@@ -537,19 +557,15 @@
         JobTables& tables = this->tables;
         for (auto entry = tables.workers.begin(); entry != tables.workers.end();) {
             WorkerRow& worker = entry->second;
-            if (worker.isSuspect && worker.hasEnded)
-                this->releaseEnded(worker, now);
-            else if (worker.isSuspect && this->hasLeaseExpired(worker, now))
-                this->releaseExpired(worker, now);
-            bool isOver = worker.isSuspect
-                && (worker.hasEnded ? this->haveOrdersArrived(worker, now) : this->hasLongestLeaseExpired(worker, now));
+            bool isOver = worker.isSuspect && this->areAllLost(worker, now);
             if (isOver && LeaseManager::hasAttempts(worker)) {
                 writeLog(LogLevel::Warning,
                     LogLine(worker.hasEnded ? "worker_ended" : "worker_longest_lease_expired")
                         .add("worker", worker.info.id.string())
                         .add("lost", worker.attempts.size()));
-                tables.clearWorker(worker, worker.hasEnded ? ReleaseReason::VmEnded : ReleaseReason::LeaseExpired, now);
-            }
+                tables.clearWorker(worker, LeaseManager::lossReasonOf(worker), now);
+            } else if (worker.isSuspect)
+                this->releaseLost(worker, now);
             if (isOver && !worker.isListed && !this->renewals[entry->first].isUnderWay) {
                 this->renewals.erase(entry->first);
                 entry = tables.workers.erase(entry);
--- a/modules/coordinator/placing/OrderSender.h
+++ b/modules/coordinator/placing/OrderSender.h
@@ -228,7 +228,14 @@
             return;
         Attempt& attempt = found->second;
         Instant now = BootClock::now();
+        bool wasSettled = attempt.isSettled();
         attempt.startOrdersEnded += 1;
+        bool isFromKnownIncarnation
+            = answer.clockMs && this->leases.isFromKnownIncarnation(*worker, *answer.clockMs, now);
+        // A copy that was refused has started nothing. One that was accepted may have been by a later incarnation.
+        bool isCopyClosed
+            = outcome == StartOutcome::Accepted ? isFromKnownIncarnation : outcome != StartOutcome::NoAnswer;
+        attempt.startOrdersClosed += isCopyClosed ? 1 : 0;
         // The worker has seen the higher token that this leader uses since its restart.
         if (outcome == StartOutcome::Fenced && token < worker->fencingToken)
             outcome = StartOutcome::Outdated;
@@ -238,15 +245,10 @@
         if (attempt.wasOrderedBeforeRestart && outcome != StartOutcome::Fenced)
             return;
         if (outcome == StartOutcome::Accepted) {
-            bool wasSettled = attempt.isSettled();
             attempt.isAnswered = true;
             attempt.isAccepted = true;
-            if (answer.clockMs && this->leases.isFromKnownIncarnation(*worker, *answer.clockMs, now))
-                attempt.isListed = true;
-            // Stored, so that the next leader need not wait for the order if the worker ends.
-            if (auto job = tables.jobs.find(order.task.job);
-                attempt.isLongRunning && attempt.isSettled() && !wasSettled && job != tables.jobs.end())
-                tables.markUnsaved(job->second);
+            attempt.isListed = attempt.isListed || isFromKnownIncarnation;
+            this->storeIfSettled(attempt, wasSettled);
             attempt.confirmedAt = now;
             if (attempt.phase != AttemptPhase::Stopping)
                 attempt.phase = AttemptPhase::Running;
@@ -265,8 +267,10 @@
         // A refusal tells nothing of the other copies of the order: one may have been carried out before, or may be
         // yet.
         if (outcome == StartOutcome::NoAnswer || attempt.startOrdersSent > 1) {
-            if (attempt.isAnswered)
+            if (attempt.isAnswered) {
+                this->storeIfSettled(attempt, wasSettled);
                 return;
+            }
             this->leases.probe(*worker, now);
             if (attempt.startOrdersEnded < attempt.startOrdersSent)
                 return;
@@ -287,6 +291,15 @@
         this->handlers.onChange();
     }
 
+    /// Has it stored that the start of a long-running task is settled, so that the next leader need not wait for the
+    /// order if the worker ends.
+    void storeIfSettled(const Attempt& attempt, bool wasSettled)
+    {
+        auto job = this->tables.jobs.find(attempt.task.job);
+        if (attempt.isLongRunning && attempt.isSettled() && !wasSettled && job != this->tables.jobs.end())
+            this->tables.markUnsaved(job->second);
+    }
+
     /// Logs an answer that may be that of another copy of the order, or of another incarnation of the worker.
     static void logAmbiguousAnswer(const StartOrder& order, const Attempt& attempt, StartOutcome outcome)
     {
--- a/modules/coordinator/tests/EndedWorkerTests.cpp
+++ b/modules/coordinator/tests/EndedWorkerTests.cpp
@@ -92,13 +92,41 @@
     }
 
     /// Submits a job of one long-running task.
-    void submitHeldUp()
+    void submitHeldUp(bool isLongRunning = true)
     {
         JobRecord record = this->job("held", 1);
-        record.spec.steps[0].longRunning = true;
+        record.spec.steps[0].longRunning = isLongRunning;
         this->submit(*this->first, record);
     }
 
+    /// Submits a job of one ordinary task whose worker carries out the second copy of the start order at once, and the
+    /// first one after `delay`, and then ends the worker. Returns when the first copy arrives.
+    Instant endWorkerWithAHeldUpCopy(Milliseconds delay)
+    {
+        this->first->link.slowStarts = 1;
+        this->first->link.lateStartDelay = delay;
+        std::size_t startsBefore = this->workers.starts;
+        Instant sentAt = BootClock::now();
+        this->submitHeldUp(false);
+        BOOST_REQUIRE(this->runUntil([&] { return this->workers.starts == startsBefore + 1; }, Milliseconds(1000)));
+        Instant arrival = std::max(sentAt, BootClock::now() - Milliseconds(120)) + delay;
+        this->runFor(Milliseconds(300));
+        this->lost = this->workerOfHeldUp();
+        this->endWorker(*this->first);
+        return arrival;
+    }
+
+    WorkerId workerOfHeldUp()
+    {
+        for (const auto& [id, worker] : this->workers.workers) {
+            if (worker.running.contains({ JobId("held"), 0, 0, 0 }))
+                return id;
+        }
+        return {};
+    }
+
+    void runUntilTime(Instant time) { this->runFor(std::chrono::duration_cast<Milliseconds>(time - BootClock::now())); }
+
     bool areBothRunning()
     {
         std::size_t running = 0;
@@ -337,6 +365,58 @@
     BOOST_TEST(this->workers.startedTwice.empty());
 }
 
+/// Guards against an ordinary task that runs twice at once (review/6): its second copy was carried out, and the worker
+/// ends and starts again under its id before the first copy arrives.
+BOOST_AUTO_TEST_CASE(aCopyHeldUpForLongerThanALeaseStartsNoTaskThatRunsElsewhere)
+{
+    Instant arrival = this->endWorkerWithAHeldUpCopy(Milliseconds(5500));
+    this->runUntilTime(arrival - Milliseconds(300));
+    this->startWorkerAgain(*this->first);
+    this->runUntilTime(arrival + Milliseconds(200));
+    this->first->link.unreachable.clear();
+    this->runFor(Milliseconds(1500));
+    BOOST_TEST(this->workers.startedTwice.empty());
+    BOOST_TEST(!this->workerOfHeldUp().isEmpty());
+}
+
+/// Guards against the same when the VM is up again, and the longest lease is over, before the worker answers.
+BOOST_AUTO_TEST_CASE(aCopyHeldUpForLongerThanTheLongestLeaseStartsNoTaskThatRunsElsewhere)
+{
+    Instant arrival = this->endWorkerWithAHeldUpCopy(Milliseconds(9000));
+    this->runUntilTime(arrival - Milliseconds(1000));
+    this->startWorkerAgain(*this->first);
+    this->runUntilTime(arrival + Milliseconds(200));
+    this->first->link.unreachable.clear();
+    this->runFor(Milliseconds(1500));
+    BOOST_TEST(this->workers.startedTwice.empty());
+}
+
+/// Guards against the same when the leadership is handed over during the wait.
+BOOST_AUTO_TEST_CASE(theNextLeaderWaitsForACopyThatIsHeldUp)
+{
+    Instant arrival = this->endWorkerWithAHeldUpCopy(Milliseconds(7000));
+    this->second = this->makeDaemon("second", "2");
+    EndedWorkerFixture::listVms(*this->second);
+    this->showEnd(*this->second);
+    this->second->coordinator.start();
+    this->runFor(Milliseconds(500));
+    this->first->coordinator.resign();
+    this->runUntilTime(arrival - Milliseconds(300));
+    this->startWorkerAgain(*this->second);
+    this->runUntilTime(arrival + Milliseconds(200));
+    this->second->link.unreachable.clear();
+    this->runFor(Milliseconds(1500));
+    BOOST_TEST(this->workers.startedTwice.empty());
+}
+
+/// Guards against a wait for a copy that was merely slow: both copies of the order were answered.
+BOOST_AUTO_TEST_CASE(aTaskWhoseCopiesWereAllAnsweredStartsElsewhereAtOnce)
+{
+    this->endWorkerWithAHeldUpCopy(Milliseconds(250));
+    BOOST_TEST(this->runUntil([this] { return !this->workerOfHeldUp().isEmpty(); }, Milliseconds(3000)));
+    BOOST_TEST(this->workers.startedTwice.empty());
+}
+
 BOOST_AUTO_TEST_CASE(onlyTwoListingsAfterTheLastSignShowThatAWorkerHasEnded)
 {
     VmInfo vm;
--- a/modules/jobs/tables/Attempt.h
+++ b/modules/jobs/tables/Attempt.h
@@ -47,11 +47,13 @@
     /// The resources that count against the team's maximum.
     ResourceAmount charged;
     Instant orderedAt;
-    /// When the start order was last sent.
+    /// When the start order was last sent, by this leader or, as far as it has told, by an earlier one.
     Instant lastSentAt;
-    /// How often the start order has been sent, and how many of these calls have ended, with an answer or without.
+    /// How often the start order has been sent, how many of these calls have ended, with an answer or without, and how
+    /// many copies cannot be carried out any more: they were refused, not sent, or accepted by the known incarnation.
     int startOrdersSent = 0;
     int startOrdersEnded = 0;
+    int startOrdersClosed = 0;
     /// When the start order is sent again unless it is answered.
     Deadline nextStartOrder;
     /// The time from which the worker refuses the start order as too late.
@@ -81,21 +83,29 @@
     /// Whether an incarnation of the worker, not certainly the current one, has accepted the start order.
     bool isAccepted = false;
 
-    /// Whether no copy of the start order is under way: the only one was carried out.
-    bool isSettled() const { return this->startOrdersSent == 1 && (this->isAccepted || this->isListed); }
+    /// Whether it is known when the start order was last sent.
+    bool isSendTimeKnown() const { return this->lastSentAt != Instant(); }
 
-    /// Whether the attempt has certainly ended if the worker's incarnation has: no start order was sent, or the only
-    /// one was carried out by that incarnation.
-    bool endsWithIncarnation() const
+    /// Whether no copy of the start order is under way if the attempt has been carried out: there was only one, or each
+    /// of them is closed.
+    bool hasNoOpenCopy() const
     {
-        return !this->mayHaveBeenSent() || (this->startOrdersSent == 1 && this->isListed);
+        return this->startOrdersSent == 1
+            || (this->startOrdersSent > 1 && this->startOrdersClosed == this->startOrdersSent);
     }
 
+    /// Whether the start order was carried out and no copy of it is under way.
+    bool isSettled() const { return this->hasNoOpenCopy() && (this->isAccepted || this->isListed); }
+
+    /// Whether the attempt has certainly ended if the worker's incarnation has: no start order was sent, or that
+    /// incarnation carried it out and no copy is under way.
+    bool endsWithIncarnation() const { return !this->mayHaveBeenSent() || (this->hasNoOpenCopy() && this->isListed); }
+
     /// Whether the attempt has certainly ended if the lease has that orders to the known incarnations can have given:
     /// no other one can run it.
     bool endsWithKnownLease() const
     {
-        return !this->mayHaveBeenSent() || (this->startOrdersSent == 1 && (this->isListed || this->wasListed));
+        return !this->mayHaveBeenSent() || (this->hasNoOpenCopy() && (this->isListed || this->wasListed));
     }
 
     /// Whether the attempt has certainly ended if the worker has ended with its VM, whichever incarnation carried the
--- a/modules/jobs/tables/JobTables.cpp
+++ b/modules/jobs/tables/JobTables.cpp
@@ -198,7 +198,7 @@
         Attempt& attempt = this->beginAttempt(*worker, job, task, placement.run, AttemptPhase::Unanswered, now);
         const auto& told = this->openOrders.starts;
         if (auto order = told.find({ task, placement.run }); order != told.end())
-            attempt.orderedAt = std::min(now, order->second);
+            attempt.orderedAt = attempt.lastSentAt = std::min(now, order->second);
         if (placement.isSettled) {
             attempt.startOrdersSent = 1;
             attempt.isAnswered = true;
@@ -346,20 +346,8 @@
     forgetIncarnation(worker);
 }
 
-std::size_t JobTables::releaseEndedAttempts(WorkerRow& worker, Instant now)
-{
-    return this->releaseAttemptsIf(
-        worker, ReleaseReason::VmEnded, now, [](const Attempt& attempt) { return attempt.endsWithVm(); });
-}
-
-std::size_t JobTables::releaseExpiredAttempts(WorkerRow& worker, Instant now)
-{
-    return this->releaseAttemptsIf(
-        worker, ReleaseReason::LeaseExpired, now, [](const Attempt& attempt) { return attempt.endsWithKnownLease(); });
-}
-
-template <typename Condition>
-std::size_t JobTables::releaseAttemptsIf(WorkerRow& worker, ReleaseReason reason, Instant now, Condition hasEnded)
+std::size_t JobTables::releaseAttemptsIf(
+    WorkerRow& worker, ReleaseReason reason, Instant now, const std::function<bool(const Attempt&)>& hasEnded)
 {
     std::vector<TaskName> ended;
     for (const auto& [task, attempt] : worker.attempts) {
--- a/modules/jobs/tables/JobTables.h
+++ b/modules/jobs/tables/JobTables.h
@@ -7,6 +7,7 @@
 #include <jobs/tables/OpenOrders.h>
 #include <jobs/tables/WorkerRow.h>
 
+#include <functional>
 #include <memory>
 #include <set>
 #include <unordered_map>
@@ -105,12 +106,9 @@
     /// Releases all attempts of a worker that can run none of them any more, and resets its record of reported ends.
     void clearWorker(WorkerRow&, ReleaseReason, Instant now);
 
-    /// Releases the attempts that have certainly ended, given that the worker has ended with its VM. Returns how many.
-    std::size_t releaseEndedAttempts(WorkerRow&, Instant now);
-
-    /// Releases the attempts that only the known incarnation can run, given that its lease has expired. Returns how
-    /// many.
-    std::size_t releaseExpiredAttempts(WorkerRow&, Instant now);
+    /// Releases the attempts and orphaned attempts that have certainly ended by `hasEnded`. Returns how many.
+    std::size_t releaseAttemptsIf(
+        WorkerRow&, ReleaseReason, Instant now, const std::function<bool(const Attempt&)>& hasEnded);
 
     /// The worker has started again under its id. Releases the attempts that have ended with its former incarnation and
     /// resets its record of reported ends. The other attempts stay: the new incarnation may have received their start
@@ -152,9 +150,6 @@
 private:
     /// Adds a worker of which only the id is known.
     WorkerRow& addUnknownWorker(const WorkerId&);
-    /// Releases the attempts and orphaned attempts for which `hasEnded(attempt)` holds. Returns how many.
-    template <typename Condition>
-    std::size_t releaseAttemptsIf(WorkerRow&, ReleaseReason, Instant now, Condition hasEnded);
     TaskPlacement placementOf(const TaskName&, const TaskRow&) const;
     StepRow& stepRow(JobRow&, const TaskName&);
 };
