--- a/modules/store/http/HttpClient.h
+++ b/modules/store/http/HttpClient.h
@@ -14,8 +14,8 @@
 namespace Greengage {
 
 /// HTTP client on the caller's event loop, with one request at a time per connection. A connection is kept for later
-/// calls to the same address if its exchange ended with a complete response, and closed otherwise. Requests are never
-/// resent.
+/// calls to the same address if its exchange ended with a complete response, and closed otherwise. If a call times out
+/// on such a connection, the idle ones that have been silent as long are closed too. Requests are never resent.
 class HttpClient {
 public:
     using Callback = std::function<void(Result<HttpResponse, HttpFailure>)>;
--- a/modules/store/http/HttpConnection.h
+++ b/modules/store/http/HttpConnection.h
@@ -1,8 +1,11 @@
 #pragma once
 
+#include <core/time/Instant.h>
+
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -36,6 +39,10 @@
     }
     bool hasWritten() const { return this->hasWrittenBytes; }
 
+    /// When the latest complete response arrived; nothing if there was none yet.
+    std::optional<Instant> lastResponse() const { return this->respondedAt; }
+    void recordResponse(Instant now) { this->respondedAt = now; }
+
     /// Makes closing reset the connection (SO_LINGER of 0 seconds), so that bytes which a network fault has delayed are
     /// never delivered.
     void resetOnClose();
@@ -51,6 +58,7 @@
     evbuffer_cb_entry* inputObserver;
     std::function<void()> onBytesArrived;
     bool hasWrittenBytes = false;
+    std::optional<Instant> respondedAt;
 };
 
 } // namespace Greengage
--- a/modules/store/http/HttpExchange.cpp
+++ b/modules/store/http/HttpExchange.cpp
@@ -65,14 +65,12 @@
     this->target = describeTarget(call);
     auto limit = toTimeval(call.timeout);
     event_add(this->timer, &limit);
-    std::function<void()> onBytesArrived;
-    if (call.extendsOnProgress) {
-        onBytesArrived = [this, limit] {
-            if (!this->outcome)
-                event_add(this->timer, &limit);
-        };
-    }
-    this->connection->startRequest(std::move(onBytesArrived));
+    this->lastProgress = BootClock::now();
+    this->connection->startRequest([this, limit, extendsOnProgress = call.extendsOnProgress] {
+        this->lastProgress = BootClock::now();
+        if (extendsOnProgress && !this->outcome)
+            event_add(this->timer, &limit);
+    });
     auto* request = evhttp_request_new(onResponse, this);
     auto* fields = evhttp_request_get_output_headers(request);
     bool valid = evhttp_add_header(fields, "Host", call.address.c_str()) == 0;
@@ -97,6 +95,11 @@
     return std::move(this->connection);
 }
 
+std::optional<Instant> HttpExchange::silentSince() const
+{
+    return this->hasTimedOut && this->connection->lastResponse() ? std::optional(this->lastProgress) : std::nullopt;
+}
+
 void HttpExchange::onResponse(evhttp_request* request, void* context)
 {
     auto& exchange = *static_cast<HttpExchange*>(context);
@@ -106,6 +109,7 @@
     }
     auto answer = toResponse(request);
     exchange.reusable = !closesConnection(answer);
+    exchange.connection->recordResponse(BootClock::now());
     exchange.complete(std::move(answer));
 }
 
@@ -113,6 +117,7 @@
 {
     auto& exchange = *static_cast<HttpExchange*>(context);
     if (!exchange.outcome) {
+        exchange.hasTimedOut = true;
         exchange.connection->resetOnClose();
         exchange.outcome = HttpFailure { exchange.connection->hasWritten(), "timed out" };
     }
--- a/modules/store/http/HttpExchange.h
+++ b/modules/store/http/HttpExchange.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <core/errors/Result.h>
+#include <core/time/Instant.h>
 #include <store/http/HttpFailure.h>
 #include <store/http/HttpRequest.h>
 #include <store/http/HttpResponse.h>
@@ -39,6 +40,10 @@
     /// The connection if it can carry another request, otherwise null.
     std::unique_ptr<HttpConnection> takeReusableConnection();
 
+    /// If the exchange has timed out on a connection that had carried others before: since when nothing has arrived on
+    /// it. Such a connection may have been cut off without a reset, and others that were open then as well.
+    std::optional<Instant> silentSince() const;
+
 private:
     static void onResponse(evhttp_request*, void*);
     static void onTimer(int, short, void*);
@@ -53,6 +58,9 @@
     std::string target;
     std::optional<Outcome> outcome;
     bool reusable = false;
+    bool hasTimedOut = false;
+    /// When the request was sent or the latest bytes of the response arrived.
+    Instant lastProgress;
 };
 
 } // namespace Greengage
--- a/tests/support/ScriptedServer.cpp
+++ b/tests/support/ScriptedServer.cpp
@@ -32,6 +32,12 @@
     return ntohs(address.sin_port);
 }
 
+void ScriptedServer::silenceOpenConnections()
+{
+    for (auto& connection : this->open)
+        bufferevent_disable(connection.get(), EV_READ);
+}
+
 void ScriptedServer::accept(evutil_socket_t socket)
 {
     this->connections += 1;
--- a/tests/support/ScriptedServer.h
+++ b/tests/support/ScriptedServer.h
@@ -25,6 +25,9 @@
 
     std::uint16_t port() const;
 
+    /// Reads nothing more from the open connections and keeps them open.
+    void silenceOpenConnections();
+
     int connections = 0;
     std::size_t bytesReceived = 0;
     Script script;
