--- a/modules/coordinator/placing/OrderSender.h
+++ b/modules/coordinator/placing/OrderSender.h
@@ -151,7 +151,6 @@
         WorkerRow& worker = tables.workers.at(order.worker);
         Attempt& attempt = worker.attempts.at(order.task);
         attempt.phase = AttemptPhase::Ordered;
-        tables.recordStart(tables.jobs.at(order.task.job));
         attempt.orderedAt = now;
         attempt.confirmedAt = now;
         constexpr auto validFor = PlacementSystem::orderValidFor;
@@ -217,6 +216,8 @@
     {
         StartOutcome outcome = answer.outcome;
         JobTables& tables = this->tables;
+        if (outcome == StartOutcome::Accepted)
+            tables.recordStart(order.task.job);
         WorkerRow* worker = tables.findWorker(order.worker);
         if (!worker)
             return;
--- a/modules/coordinator/tests/CoordinatorTests.cpp
+++ b/modules/coordinator/tests/CoordinatorTests.cpp
@@ -145,6 +145,64 @@
     BOOST_TEST(this->first->coordinator.waitingJobs(QueueId("quick")) == 5U);
 }
 
+/// Guards against jobs that are not counted as waiting (review/9) since a worker was sent start orders, all of which it
+/// refused. Also for the next leader, which reads the placements that were stored before the orders were sent.
+BOOST_AUTO_TEST_CASE(jobsWhoseStartsWereRefusedAreWaiting)
+{
+    this->workers.admission = [](const WorkerId&, const StartAttempt&) { return StartOutcome::Unhealthy; };
+    this->first->coordinator.start();
+    for (const char* id : { "j1", "j2", "j3" })
+        this->submit(*this->first, this->job(id, 2));
+    auto isWaiting = [this](FakeDaemon& daemon, std::uint64_t count) {
+        return this->runUntil(
+            [&] { return daemon.coordinator.waitingJobs(QueueId("quick")) == count; }, Milliseconds(1500));
+    };
+    this->runFor(Milliseconds(1000));
+    BOOST_TEST(isWaiting(*this->first, 3));
+    this->second = this->makeDaemon("second", "1");
+    this->second->coordinator.start();
+    this->first->coordinator.resign();
+    BOOST_REQUIRE(this->runUntil([this] { return this->second->coordinator.isLeader(); }));
+    this->runFor(Milliseconds(1000));
+    BOOST_TEST(isWaiting(*this->second, 3));
+    this->workers.taskLength = Milliseconds(60'000);
+    this->workers.admission = nullptr;
+    BOOST_TEST(isWaiting(*this->second, 0));
+}
+
+/// Guards against the same if start orders get no answer and have no effect.
+BOOST_AUTO_TEST_CASE(jobsWhoseStartsWereLostAreWaiting)
+{
+    this->first->link.loseStarts = 1000;
+    this->first->coordinator.start();
+    this->submit(*this->first, this->job("j", 2));
+    this->runFor(Milliseconds(2000));
+    BOOST_TEST(this->first->coordinator.waitingJobs(QueueId("quick")) == 1U);
+}
+
+/// Guards against a job that counts as waiting again: the next leader reads that it has started, also if its tasks have
+/// ended since and start orders are refused.
+BOOST_AUTO_TEST_CASE(aJobThatHasStartedIsNotWaitingForTheNextLeader)
+{
+    this->workers.taskLength = Milliseconds(60'000);
+    this->first->coordinator.start();
+    JobRecord record = this->job("j", 1);
+    record.spec.steps[0].longRunning = true;
+    this->submit(*this->first, record);
+    BOOST_REQUIRE(this->runUntil([this] { return this->workers.starts == 1U; }));
+    this->runFor(Milliseconds(1000));
+    this->workers.admission = [](const WorkerId&, const StartAttempt&) { return StartOutcome::Unhealthy; };
+    this->workers.endTask(this->busiestWorker(), { JobId("j"), 0, 0, 0 }, EndKind::Failed);
+    this->runFor(Milliseconds(1000));
+    this->second = this->makeDaemon("second", "1");
+    this->second->coordinator.start();
+    this->first->coordinator.resign();
+    BOOST_REQUIRE(this->runUntil([this] { return this->second->coordinator.isLeader(); }));
+    this->runFor(Milliseconds(1000));
+    BOOST_TEST(this->second->coordinator.waitingJobs(QueueId("quick")) == 0U);
+    BOOST_TEST(this->workers.starts == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(aResigningLeaderIsReplacedWithoutWaiting)
 {
     this->first->coordinator.start();
--- a/modules/jobs/codec/JobProgressCodec.cpp
+++ b/modules/jobs/codec/JobProgressCodec.cpp
@@ -34,6 +34,8 @@
         for (auto run : runs)
             value["failedRuns"][taskSuffix(task)].append(run);
     }
+    if (progress.hasStarted)
+        value["started"] = true;
     return toCompactJson(value);
 }
 
@@ -78,6 +80,7 @@
             for (const auto& run : *entry)
                 progress.failedRuns[*task].insert(run.asUInt());
         }
+        progress.hasStarted = source["started"].asBool();
     } catch (const Json::Exception&) {
         // A field has an unexpected type, so `encode` did not write this text.
         return std::nullopt;
--- a/modules/jobs/model/JobProgress.h
+++ b/modules/jobs/model/JobProgress.h
@@ -24,10 +24,12 @@
 /// The progress of a job that is stored, so that a later leader can continue the job.
 struct JobProgress {
     std::set<TaskName> done;
-    /// Placements of the tasks that are not done. A task without a placement has not been started on any worker.
+    /// Placements of the tasks that are not done. A task without a placement does not run on any worker.
     std::map<TaskName, TaskPlacement> placements;
     /// Numbers of the attempts that failed, so that a failure which is reported again is not counted twice.
     std::map<TaskName, std::set<std::uint32_t>> failedRuns;
+    /// Whether a worker is known to have started a task of the job. Not stored by earlier versions.
+    bool hasStarted = false;
 };
 
 } // namespace Greengage
--- a/modules/jobs/systems/ReportSystem.cpp
+++ b/modules/jobs/systems/ReportSystem.cpp
@@ -79,6 +79,7 @@
         this->tables.releaseOrphan(worker, orphan->second);
         worker.orphans.erase(orphan);
     }
+    this->tables.recordStart(end.task.job);
     auto job = this->tables.jobs.find(end.task.job);
     bool isOpen = job != this->tables.jobs.end() && !job->second.hasEnded();
     if (end.kind == EndKind::Done) {
@@ -160,6 +161,7 @@
 void ReportSystem::handleRunning(WorkerRow& worker, const RunningAttempt& running, Instant now)
 {
     WorkScope scope(WorkKind::Job, running.task.job.string());
+    this->tables.recordStart(running.task.job);
     auto found = worker.attempts.find(running.task);
     if (found != worker.attempts.end() && found->second.run == running.run) {
         Attempt& attempt = found->second;
--- a/modules/jobs/tables/JobRow.h
+++ b/modules/jobs/tables/JobRow.h
@@ -73,7 +73,8 @@
     std::int64_t recordRevision = 0;
     /// The store revision of the stored progress; 0 if there is none.
     std::int64_t progressRevision = 0;
-    /// Whether any task of the job is known to have been started.
+    /// Whether a worker is known to have started a task of the job. A start order that was refused, or that got no
+    /// answer, does not show it.
     bool hasStarted = false;
 
     bool hasEnded() const { return this->state != JobState::Waiting && this->state != JobState::Running; }
--- a/modules/jobs/tables/JobTables.cpp
+++ b/modules/jobs/tables/JobTables.cpp
@@ -57,7 +57,8 @@
     JobRow& job = entry->second;
     job.record = std::move(record);
     job.occurrences = makeOccurrences(job.record.spec);
-    job.hasStarted = !progress.done.empty() || !progress.failedRuns.empty() || !progress.placements.empty();
+    if (progress.hasStarted || !progress.done.empty() || !progress.failedRuns.empty())
+        this->recordStart(job);
     for (const auto& [task, runs] : progress.failedRuns) {
         if (auto* row = this->findTask(task))
             row->failedRuns = runs;
@@ -231,7 +232,7 @@
     attempt.task = task;
     attempt.run = run;
     attempt.phase = phase;
-    if (attempt.mayHaveBeenSent())
+    if (phase == AttemptPhase::Running)
         this->recordStart(job);
     attempt.team = job.record.team;
     attempt.charged = step.demand;
@@ -256,6 +257,12 @@
         job.state = JobState::Running;
 }
 
+void JobTables::recordStart(const JobId& id)
+{
+    if (auto found = this->jobs.find(id); found != this->jobs.end())
+        this->recordStart(found->second);
+}
+
 void JobTables::releaseAttempt(WorkerRow& worker, const TaskName& task, ReleaseReason reason, Instant provenAt)
 {
     auto found = worker.attempts.find(task);
@@ -385,6 +392,7 @@
 JobProgress JobTables::progressOf(const JobRow& job) const
 {
     JobProgress progress;
+    progress.hasStarted = job.hasStarted;
     for (std::uint32_t occurrence = 0; occurrence < job.occurrences.size(); ++occurrence) {
         const auto& steps = job.occurrences[occurrence].steps;
         for (std::uint32_t step = 0; step < steps.size(); ++step) {
--- a/modules/jobs/tables/JobTables.h
+++ b/modules/jobs/tables/JobTables.h
@@ -80,9 +80,12 @@
     /// Adds an attempt of a waiting task on a worker.
     Attempt& beginAttempt(WorkerRow&, JobRow&, const TaskName&, std::uint32_t run, AttemptPhase, Instant now);
 
-    /// Records that this leader or an earlier one has sent an order to start a task of the job.
+    /// Records that a worker has started a task of the job.
     void recordStart(JobRow&);
 
+    /// The same for the job with this id, if the tables have it.
+    void recordStart(const JobId&);
+
     /// Removes an attempt, which does not run any more as of `provenAt` for the reason given. Its task waits again
     /// unless it is done.
     void releaseAttempt(WorkerRow&, const TaskName&, ReleaseReason, Instant provenAt);
