coordinator: wait no longer than the lease for a worker that is cut off

Cause: the wait for copies of a start order also held where no end of the worker had been seen. There the known incarnation refuses a copy that comes late, by its deadline, and the wait for the lease stood.

The wait now holds while the worker has ended with its VM, and until it has reported again if the VM is up meanwhile, so that aCopyHeldUpForLongerThanTheLongestLeaseStartsNoTaskThatRunsElsewhere holds still.

--- a/modules/coordinator/placing/LeaseManager.h
+++ b/modules/coordinator/placing/LeaseManager.h
@@ -500,8 +500,8 @@
             return !this->mayStartLate(attempt, now);
         if (!this->hasLongestLeaseExpired(worker, now))
             return this->hasLeaseExpired(worker, now) && attempt.endsWithKnownLease();
-        // After a change of leader, what is not known to be under way is waited for no longer than a lease.
-        return attempt.isLongRunning || !attempt.isSendTimeKnown() || !this->mayStartLate(attempt, now);
+        // The known incarnation refuses a copy that comes late; only a later one would carry it out.
+        return attempt.isLongRunning || !worker.hasEndedSinceReport || !this->mayStartLate(attempt, now);
     }
 
     /// Whether no attempt of an unresponsive worker runs any more or can start.
--- a/modules/jobs/systems/ReportSystem.cpp
+++ b/modules/jobs/systems/ReportSystem.cpp
@@ -51,6 +51,7 @@
     this->events.clear();
     worker.isReached = true;
     worker.hasEnded = false;
+    worker.hasEndedSinceReport = false;
     worker.lastReport = now;
     worker.clockMs = report.clockMs;
     worker.clockReadAt = now;
