coordinator: wait 6 s for orders to an ended worker, so that no task is missing

Cause: the wait of 12 s for copies of a start order is longer than the 9 s, 7 s of them calm, for which the soak lets a task be missing. It also counted from the change of leader for orders of which the last leader had not told.

An order to a worker that has ended is now waited for 6 s, if it is known when it was sent, and as before otherwise. With it the wait for leases needs no condition of its own any more.

--- a/modules/coordinator/fleet/FleetController.h
+++ b/modules/coordinator/fleet/FleetController.h
@@ -283,10 +283,8 @@
     /// Marks the workers that have ended with their VMs, so that their tasks need not wait for the end of the leases.
     void markEndedWorkers()
     {
-        for (auto& [id, worker] : this->tables.workers) {
+        for (auto& [id, worker] : this->tables.workers)
             worker.hasEnded = worker.isSuspect && this->fleet.hasWorkerEnded(id, worker.lastReport);
-            worker.hasEndedSinceReport = worker.hasEndedSinceReport || worker.hasEnded;
-        }
     }
 
     void advance(const MaintenanceWave& wave, Instant now)
--- a/modules/coordinator/placing/LeaseManager.h
+++ b/modules/coordinator/placing/LeaseManager.h
@@ -221,8 +221,9 @@
     static constexpr Milliseconds unacknowledgedPause { 25 };
     /// A call to a worker is given up after less than this time, and reaches it until then.
     static constexpr Milliseconds longestCall { 500 };
-    /// A call that got no answer may be carried out this long after it was sent, by any incarnation of the worker.
-    static constexpr Milliseconds longestDelay { 12'000 };
+    /// A start order that may be under way to a worker that has ended is waited for this long, so that its task runs
+    /// again within 9 s. It may arrive up to 12 s after it was sent.
+    static constexpr Milliseconds longestWaitForOrder { 6000 };
     static constexpr Milliseconds unreadableLinePeriod { 10'000 };
 
     struct Renewal {
@@ -481,16 +482,16 @@
         return this->leaseOf(worker).known.hasPassed(now);
     }
 
-    /// Whether an incarnation of the worker that has not answered yet may still start the attempt, because a copy of
-    /// its order is under way. A long-running task has to run again sooner than such a copy can be ruled out, so its
-    /// order is taken for lost once it is as old as a lease.
+    /// Whether a copy of the attempt's start order is taken for being under way, so that an incarnation of the worker
+    /// which has not answered yet may carry it out. The time of an order of which the earlier leader has not told
+    /// counts from the change of leader, which has taken up a part of the wait.
     bool mayStartLate(const Attempt& attempt, Instant now) const
     {
         if (attempt.endsWithVm())
             return false;
-        if (attempt.isLongRunning)
-            return now - attempt.orderedAt < LeaseManager::longestLease(this->leaseDuration);
-        return now - std::max(attempt.orderedAt, attempt.lastSentAt) < longestDelay;
+        bool isWaitShort = attempt.isLongRunning || !attempt.isSendTimeKnown();
+        Milliseconds wait = isWaitShort ? LeaseManager::longestLease(this->leaseDuration) : longestWaitForOrder;
+        return now - attempt.orderedAt < wait;
     }
 
     /// Whether the attempt of an unresponsive worker does not run any more and cannot start either.
@@ -498,10 +499,8 @@
     {
         if (worker.hasEnded)
             return !this->mayStartLate(attempt, now);
-        if (!this->hasLongestLeaseExpired(worker, now))
-            return this->hasLeaseExpired(worker, now) && attempt.endsWithKnownLease();
-        // The known incarnation refuses a copy that comes late; only a later one would carry it out.
-        return attempt.isLongRunning || !worker.hasEndedSinceReport || !this->mayStartLate(attempt, now);
+        return this->hasLongestLeaseExpired(worker, now)
+            || (this->hasLeaseExpired(worker, now) && attempt.endsWithKnownLease());
     }
 
     /// Whether no attempt of an unresponsive worker runs any more or can start.
--- a/modules/jobs/systems/ReportSystem.cpp
+++ b/modules/jobs/systems/ReportSystem.cpp
@@ -51,7 +51,6 @@
     this->events.clear();
     worker.isReached = true;
     worker.hasEnded = false;
-    worker.hasEndedSinceReport = false;
     worker.lastReport = now;
     worker.clockMs = report.clockMs;
     worker.clockReadAt = now;
--- a/modules/jobs/tables/Attempt.h
+++ b/modules/jobs/tables/Attempt.h
@@ -47,7 +47,7 @@
     /// The resources that count against the team's maximum.
     ResourceAmount charged;
     Instant orderedAt;
-    /// When the start order was last sent.
+    /// When the start order was last sent, by this leader or, as far as it has told, by an earlier one.
     Instant lastSentAt;
     /// How often the start order has been sent, how many of these calls have ended, with an answer or without, and how
     /// many copies cannot be carried out any more: they were refused, not sent, or accepted by the known incarnation.
@@ -83,6 +83,9 @@
     /// Whether an incarnation of the worker, not certainly the current one, has accepted the start order.
     bool isAccepted = false;
 
+    /// Whether it is known when the start order was last sent.
+    bool isSendTimeKnown() const { return this->lastSentAt != Instant(); }
+
     /// Whether no copy of the start order is under way if the attempt has been carried out: there was only one, or each
     /// of them is closed.
     bool hasNoOpenCopy() const
--- a/modules/jobs/tables/JobTables.cpp
+++ b/modules/jobs/tables/JobTables.cpp
@@ -199,7 +199,7 @@
         Attempt& attempt = this->beginAttempt(*worker, job, task, placement.run, AttemptPhase::Unanswered, now);
         const auto& told = this->openOrders.starts;
         if (auto order = told.find({ task, placement.run }); order != told.end())
-            attempt.orderedAt = std::min(now, order->second);
+            attempt.orderedAt = attempt.lastSentAt = std::min(now, order->second);
         if (placement.isSettled) {
             attempt.startOrdersSent = 1;
             attempt.isAnswered = true;
--- a/modules/jobs/tables/WorkerRow.h
+++ b/modules/jobs/tables/WorkerRow.h
@@ -57,9 +57,6 @@
     bool isSuspect = false;
     /// The fleet shows no VM on which the worker runs, so that what its incarnation ran has ended whatever its lease.
     bool hasEnded = false;
-    /// Whether the fleet has shown that since the latest report. What runs under the id from then on is a later
-    /// incarnation, also once the VM is up again.
-    bool hasEndedSinceReport = false;
     /// The VM is being drained for maintenance: no attempt starts on it, and long-running tasks move away.
     bool isDrainOrdered = false;
     /// The VM was ordered into another pool, and it is not known yet what became of the order.
