--- a/modules/coordinator/placing/LeaseManager.h
+++ b/modules/coordinator/placing/LeaseManager.h
@@ -483,8 +483,8 @@
     }
 
     /// Whether a copy of the attempt's start order is taken for being under way, so that an incarnation of the worker
-    /// which has not answered yet may carry it out. The time of an order of which the earlier leader has not told
-    /// counts from the change of leader, which has taken up a part of the wait.
+    /// which has not answered yet may carry it out. An order of which the earlier leader has not told counts as
+    /// sent at the change of leader, and is waited for less long.
     bool mayStartLate(const Attempt& attempt, Instant now) const
     {
         if (attempt.endsWithVm())
