--- a/modules/coordinator/tests/EndedWorkerTests.cpp
+++ b/modules/coordinator/tests/EndedWorkerTests.cpp
@@ -116,6 +116,16 @@
         return arrival;
     }
 
+    /// Has the ended worker start again `lead` before a held-up copy arrives, and the daemon reach it only after that.
+    void startAgainBefore(Instant arrival, Milliseconds lead, FakeDaemon& daemon)
+    {
+        this->runUntilTime(arrival - lead);
+        this->startWorkerAgain(daemon);
+        this->runUntilTime(arrival + Milliseconds(20));
+        daemon.link.unreachable.clear();
+        this->runFor(Milliseconds(1500));
+    }
+
     WorkerId workerOfHeldUp()
     {
         for (const auto& [id, worker] : this->workers.workers) {
@@ -370,11 +380,7 @@
 BOOST_AUTO_TEST_CASE(aCopyHeldUpForLongerThanALeaseStartsNoTaskThatRunsElsewhere)
 {
     Instant arrival = this->endWorkerWithAHeldUpCopy(Milliseconds(4700));
-    this->runUntilTime(arrival - Milliseconds(200));
-    this->startWorkerAgain(*this->first);
-    this->runUntilTime(arrival + Milliseconds(20));
-    this->first->link.unreachable.clear();
-    this->runFor(Milliseconds(1500));
+    this->startAgainBefore(arrival, Milliseconds(200), *this->first);
     BOOST_TEST(this->workers.startedTwice.empty());
     BOOST_TEST(!this->workerOfHeldUp().isEmpty());
 }
@@ -383,11 +389,7 @@
 BOOST_AUTO_TEST_CASE(aCopyThatArrivesOnceTheVmIsUpAgainStartsNoTaskThatRunsElsewhere)
 {
     Instant arrival = this->endWorkerWithAHeldUpCopy(Milliseconds(5500));
-    this->runUntilTime(arrival - Milliseconds(1200));
-    this->startWorkerAgain(*this->first);
-    this->runUntilTime(arrival + Milliseconds(20));
-    this->first->link.unreachable.clear();
-    this->runFor(Milliseconds(1500));
+    this->startAgainBefore(arrival, Milliseconds(1200), *this->first);
     BOOST_TEST(this->workers.startedTwice.empty());
 }
 
@@ -401,11 +403,7 @@
     this->second->coordinator.start();
     this->runFor(Milliseconds(500));
     this->first->coordinator.resign();
-    this->runUntilTime(arrival - Milliseconds(200));
-    this->startWorkerAgain(*this->second);
-    this->runUntilTime(arrival + Milliseconds(20));
-    this->second->link.unreachable.clear();
-    this->runFor(Milliseconds(1500));
+    this->startAgainBefore(arrival, Milliseconds(200), *this->second);
     BOOST_TEST(this->workers.startedTwice.empty());
 }
 
