core: the rate limit on log events moves from daemon, with a number of events a second

Other listeners need it for lines that strangers can cause. One event a second of each kind stays the default, so that what greengaged logs is unchanged.

--- a/modules/daemon/events/LogRateLimiter.cpp
+++ b/modules/core/log/LogRateLimiter.cpp
@@ -1,23 +1,21 @@
-#include <daemon/events/LogRateLimiter.h>
+#include <core/log/LogRateLimiter.h>
 
 #include <utility>
 
 namespace Greengage {
 
-namespace {
-
-constexpr Seconds minInterval { 1 };
-
-} // namespace
-
 std::optional<std::uint64_t> LogRateLimiter::admit(const std::string& kind, Instant now)
 {
     Entry& entry = this->entries[kind];
-    if (!entry.suppressUntil.hasPassed(now)) {
+    if (entry.secondEnd.hasPassed(now)) {
+        entry.secondEnd = Deadline::after(now, Seconds(1));
+        entry.logged = 0;
+    }
+    if (entry.logged == this->eventsPerSecond) {
         entry.suppressed += 1;
         return std::nullopt;
     }
-    entry.suppressUntil = Deadline::after(now, minInterval);
+    entry.logged += 1;
     return std::exchange(entry.suppressed, 0);
 }
 
--- a/modules/daemon/maintenance/VmMover.h
+++ b/modules/daemon/maintenance/VmMover.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include <core/log/LogRateLimiter.h>
 #include <daemon/admin/DocumentSubmitter.h>
-#include <daemon/events/LogRateLimiter.h>
 #include <fleet/maintenance/messages/MoveVm.h>
 
 #include <functional>
--- a/modules/daemon/metrics/RequestObserver.h
+++ b/modules/daemon/metrics/RequestObserver.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include <config/model/Document.h>
+#include <core/log/LogRateLimiter.h>
 #include <core/time/Instant.h>
-#include <daemon/events/LogRateLimiter.h>
 #include <gateway/callers/CallerRefusal.h>
 #include <metrics/burn/BurnTable.h>
 #include <metrics/registry/MetricsRegistry.h>
