--- a/scripts/test.py
+++ b/scripts/test.py
@@ -15,7 +15,7 @@
 PROGRAM_TIMEOUT_S = 900
 # Programs that neither listen on an address nor start a process.
 IN_PROCESS = {"core_tests", "config_tests", "metrics_tests", "fleet_tests", "jobs_tests", "coordinator_tests", "checker_tests",
-              "takeover_tests"}
+              "loop_tests", "takeover_tests"}
 # Programs whose crowds of clients would disturb other programs.
 ALONE = {"platform_crowds", "daemon_crowds"}
 
