platform, gateway: what strangers make HTTP listeners hold is bounded

Clients that announced bodies over the limit, sent chunks or chunk lines without an end, many small headers, or requests ahead whose answers they did not read, made greengage-platform take memory until it was ended; its callers' and its readiness address alike. Connections that sent nothing took all descriptors, and ordinary callers got no answer any more. The admin port of greengaged read ahead without a bound, and 16 idle strangers kept the operators out.

Cause: no bound on connections or on what they hold together; no watermark, so that evhttp moved all that a client sent ahead into its input buffer while answers waited; no deadline for a phase. The admin port's limiter left further connections in the backlog.

Why it works: HttpConnectionGuard reads no more of a connection than its phase needs, counts what it holds, also as stored headers and as copies while a request is handled, and closes connections so that number, sum and phases stay within limits. A request that there is no memory for is answered 503 before it is handled, so it is never stored. A connection whose request is handled is not closed.

--- a/modules/daemon/metrics/RequestObserver.cpp
+++ b/modules/daemon/metrics/RequestObserver.cpp
@@ -100,6 +100,14 @@
             LogLine("request_refused").add("reason", nameOf(refusal)).add("suppressed", *suppressed));
 }
 
+void RequestObserver::connectionClosed(const char* listener, CloseReason reason)
+{
+    this->registry
+        .counter("greengage_connections_closed_total", "Connections that were closed to keep the limits, by reason.",
+            { { "listener", listener }, { "reason", text(nameOf(reason)) } })
+        .add();
+}
+
 void RequestObserver::attemptEnded(const AttemptEnded& ended)
 {
     this->registry
--- a/modules/daemon/metrics/RequestObserver.h
+++ b/modules/daemon/metrics/RequestObserver.h
@@ -4,6 +4,7 @@
 #include <core/log/LogRateLimiter.h>
 #include <core/time/Instant.h>
 #include <gateway/callers/CallerRefusal.h>
+#include <loop/guard/CloseReason.h>
 #include <metrics/burn/BurnTable.h>
 #include <metrics/registry/MetricsRegistry.h>
 
@@ -24,6 +25,8 @@
     void documentApplied(std::shared_ptr<const Document>);
     void answered(const AnswerCaller&, const QueueId&, Microseconds latency);
     void refused(CallerRefusal);
+    /// A connection to this listener was closed to keep the limits.
+    void connectionClosed(const char* listener, CloseReason);
     void attemptEnded(const AttemptEnded&);
 
     std::vector<BurnRow> burnRows(Instant now) const { return this->burn.rows(now); }
--- a/modules/daemon/process/Daemon.cpp
+++ b/modules/daemon/process/Daemon.cpp
@@ -78,7 +78,8 @@
                       this->waveApi.handle(request, std::move(respond));
                   else
                       this->adminApi.handle(request, std::move(respond));
-              } })
+              },
+              [this](CloseReason reason) { this->observer.connectionClosed("admin", reason); } })
     , tickTimer(base, [this] { this->tick(); })
 {
 }
--- a/modules/gateway/admin/AdminServer.cpp
+++ b/modules/gateway/admin/AdminServer.cpp
@@ -12,11 +12,8 @@
 
 namespace {
 
-constexpr int maxConnections = 16;
-constexpr Milliseconds requestTimeout { 30000 };
-constexpr ev_ssize_t maxHeaderBytes = 8 * 1024;
-constexpr ev_ssize_t maxBodyBytes = 2 * 1024 * 1024;
 constexpr int statusUnauthorized = 401;
+constexpr int statusUnavailable = 503;
 constexpr std::string_view bearerPrefix = "Bearer ";
 
 std::string bearerKeyOf(const evhttp_request& request)
@@ -26,23 +23,42 @@
     return text.starts_with(bearerPrefix) ? text.substr(bearerPrefix.size()) : std::string();
 }
 
+ConnectionLimits adminLimits()
+{
+    constexpr Milliseconds requestTimeout { 30'000 };
+    ConnectionLimits limits;
+    limits.maxConnections = 16;
+    limits.maxHeldBytes = std::size_t(16) * 1024 * 1024;
+    limits.maxHeaderBytes = std::size_t(8) * 1024;
+    limits.maxBodyBytes = std::size_t(2) * 1024 * 1024;
+    limits.headerTimeout = requestTimeout;
+    limits.bodyTimeout = requestTimeout;
+    limits.writeTimeout = requestTimeout;
+    limits.idleTimeout = requestTimeout;
+    return limits;
+}
+
 } // namespace
 
 AdminServer::AdminServer(event_base& base, Handlers handlers)
     : base(base)
     , handlers(std::move(handlers))
-    , limiter(base, maxConnections, requestTimeout)
+    , guard(base, "admin", adminLimits(),
+          { [this](evhttp_connection* freed) { this->openRequests.removeRequestsOf(freed); },
+              [this](CloseReason reason) { this->handlers.onClosing(reason); } })
     , sharedSelf(std::make_shared<AdminServer*>(this))
 {
 }
 
-AdminServer::~AdminServer() { *this->sharedSelf = nullptr; }
+AdminServer::~AdminServer()
+{
+    *this->sharedSelf = nullptr;
+    this->guard.detach();
+}
 
 Result<void, GatewayError> AdminServer::listen(const std::string& address, std::uint16_t port)
 {
     this->server.reset(evhttp_new(&this->base));
-    evhttp_set_max_headers_size(this->server.get(), maxHeaderBytes);
-    evhttp_set_max_body_size(this->server.get(), maxBodyBytes);
     evhttp_set_allowed_methods(this->server.get(), EVHTTP_REQ_GET | EVHTTP_REQ_POST);
     evhttp_set_gencb(
         this->server.get(),
@@ -52,14 +68,19 @@
     if (!socket)
         return GatewayError { "cannot listen on " + address + ":" + std::to_string(port) + ": "
             + std::strerror(errno) };
-    this->limiter.attach(*this->server, *socket);
+    this->guard.attach(*this->server, *socket);
     return success();
 }
 
 void AdminServer::handleRequest(evhttp_request& request)
 {
     evhttp_connection* connection = evhttp_request_get_connection(&request);
-    this->limiter.onRequestArrived(connection);
+    if (!this->guard.requestArrived(connection)) {
+        this->send(request,
+            { statusUnavailable, "application/json",
+                "{\"error\":\"the daemon holds too many unanswered requests\"}\n" });
+        return;
+    }
     if (!this->handlers.isAuthorized(bearerKeyOf(request))) {
         this->send(request,
             { statusUnauthorized, "application/json", "{\"error\":\"the operators' key is missing or wrong\"}\n" });
@@ -87,7 +108,7 @@
     evkeyvalq* headers = evhttp_request_get_output_headers(&request);
     evhttp_add_header(headers, "Content-Type", response.contentType.c_str());
     evbuffer_add(evhttp_request_get_output_buffer(&request), response.body.data(), response.body.size());
-    this->limiter.onRequestAnswered(evhttp_request_get_connection(&request));
+    this->guard.answering(evhttp_request_get_connection(&request));
     evhttp_send_reply(&request, response.status, nullptr, nullptr);
 }
 
--- a/modules/gateway/admin/AdminServer.h
+++ b/modules/gateway/admin/AdminServer.h
@@ -3,8 +3,8 @@
 #include <core/errors/Result.h>
 #include <gateway/admin/AdminRequest.h>
 #include <gateway/admin/AdminResponse.h>
-#include <gateway/callers/ConnectionLimiter.h>
 #include <gateway/http/GatewayError.h>
+#include <loop/guard/HttpConnectionGuard.h>
 #include <loop/http/OpenRequests.h>
 
 #include <cstdint>
@@ -28,6 +28,8 @@
         /// Whether the key in an operator's request is the operators' key.
         std::function<bool(const std::string& key)> isAuthorized;
         std::function<void(const AdminRequest&, Responder)> handle;
+        /// A connection was closed to keep the limits.
+        std::function<void(CloseReason)> onClosing;
     };
 
     AdminServer(event_base&, Handlers);
@@ -49,9 +51,9 @@
 
     event_base& base;
     Handlers handlers;
-    ConnectionLimiter limiter;
-    EventPointer<evhttp> server;
     OpenRequests openRequests;
+    HttpConnectionGuard guard;
+    EventPointer<evhttp> server;
     /// Shared with the responders; set to null on destruction, so that those which outlive the server do nothing.
     std::shared_ptr<AdminServer*> sharedSelf;
 };
--- a/modules/loop/http/OpenRequests.cpp
+++ b/modules/loop/http/OpenRequests.cpp
@@ -4,20 +4,10 @@
 
 namespace Greengage {
 
-OpenRequests::~OpenRequests()
-{
-    for (auto& [id, request] : this->requests)
-        evhttp_connection_set_closecb(evhttp_request_get_connection(request), nullptr, nullptr);
-}
-
 std::uint64_t OpenRequests::add(evhttp_request& request)
 {
     std::uint64_t id = this->nextId++;
     this->requests[id] = &request;
-    evhttp_connection_set_closecb(
-        evhttp_request_get_connection(&request),
-        [](evhttp_connection* closed, void* table) { static_cast<OpenRequests*>(table)->removeRequestsOf(closed); },
-        this);
     return id;
 }
 
@@ -28,7 +18,6 @@
         return nullptr;
     evhttp_request* request = found->second;
     this->requests.erase(found);
-    evhttp_connection_set_closecb(evhttp_request_get_connection(request), nullptr, nullptr);
     return request;
 }
 
--- a/modules/loop/http/OpenRequests.h
+++ b/modules/loop/http/OpenRequests.h
@@ -9,12 +9,10 @@
 
 namespace Greengage {
 
-/// The requests of an evhttp server that have not been answered yet. When a client disconnects before that, its request
-/// is removed, since evhttp frees it.
+/// The requests of an evhttp server that have not been answered yet.
 class OpenRequests {
 public:
     OpenRequests() = default;
-    ~OpenRequests();
 
     OpenRequests(const OpenRequests&) = delete;
     OpenRequests& operator=(const OpenRequests&) = delete;
@@ -26,11 +24,12 @@
     /// disconnected.
     evhttp_request* take(std::uint64_t id);
 
+    /// Removes the requests of a connection that is about to be freed, since evhttp frees them.
+    void removeRequestsOf(evhttp_connection*);
+
     std::size_t size() const { return this->requests.size(); }
 
 private:
-    void removeRequestsOf(evhttp_connection*);
-
     std::unordered_map<std::uint64_t, evhttp_request*> requests;
     std::uint64_t nextId = 1;
 };
