gateway: the callers of greengaged hold no more than a bound together

Further callers waited in the backlog until strangers timed out.

Cause: the limiter of connections bounded their number alone. A refusal was written at once without a watermark, a body had a limit but not their sum before they were complete, and headers take many times their bytes once stored.

The pending requests' own sum stays as it was. connectionsBeyondTheLimitWaitUnaccepted holds unchanged: connections whose requests are handled, and new ones, keep their places.

--- a/modules/daemon/metrics/DaemonGauges.cpp
+++ b/modules/daemon/metrics/DaemonGauges.cpp
@@ -36,7 +36,10 @@
         .set(static_cast<double>(this->appliedRevision));
     registry.gauge("greengage_store_reachable", "1 if the store answered the newest call.")
         .set(this->storeReachable ? 1 : 0);
-    registry.gauge("greengage_caller_connections", "Open connections of callers.").set(this->callerConnectionCount);
+    registry.gauge("greengage_caller_connections", "Open connections of callers.")
+        .set(static_cast<double>(this->callerConnectionCount));
+    registry.gauge("greengage_held_caller_bytes", "Bytes that the connections of callers hold.")
+        .set(static_cast<double>(this->heldCallerBytes));
     constexpr std::string_view meshName = "greengage_mesh_bytes_total";
     constexpr std::string_view meshHelp = "Bytes exchanged with other daemons, by direction.";
     raiseTo(registry.counter(meshName, meshHelp, { { "direction", "sent" } }), this->meshBytesSent);
--- a/modules/daemon/metrics/DaemonGauges.h
+++ b/modules/daemon/metrics/DaemonGauges.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <vector>
 
@@ -13,7 +14,8 @@
 struct DaemonGauges {
     std::uint64_t appliedRevision = 0;
     bool storeReachable = false;
-    int callerConnectionCount = 0;
+    std::size_t callerConnectionCount = 0;
+    std::size_t heldCallerBytes = 0;
     std::uint64_t meshBytesSent = 0;
     std::uint64_t meshBytesReceived = 0;
     std::uint64_t ticks = 0;
--- a/modules/daemon/process/Daemon.cpp
+++ b/modules/daemon/process/Daemon.cpp
@@ -112,6 +112,7 @@
         this->observer.answered(answer, queue, latency);
     };
     handlers.onRefused = [this](CallerRefusal refusal) { this->observer.refused(refusal); };
+    handlers.onCallerClosing = [this](CloseReason reason) { this->observer.connectionClosed("callers", reason); };
     handlers.isHealthy = [this] { return !this->shuttingDown && this->documents.known().record.has_value(); };
     handlers.metricsPage = [this] { return this->makeMetricsPage(); };
     return handlers;
@@ -346,6 +347,7 @@
     gauges.appliedRevision = this->documents.known().appliedRevision();
     gauges.storeReachable = this->watcher.isReachable();
     gauges.callerConnectionCount = this->gateway.callerConnectionCount();
+    gauges.heldCallerBytes = this->gateway.heldCallerBytes();
     gauges.meshBytesSent = this->peerExchange.bytesSent() + this->meshServer.bytesSent();
     gauges.meshBytesReceived = this->peerExchange.bytesReceived() + this->meshServer.bytesReceived();
     gauges.ticks = this->ticks;
--- a/modules/gateway/callers/CallerServer.cpp
+++ b/modules/gateway/callers/CallerServer.cpp
@@ -60,6 +60,20 @@
     return path ? path : "";
 }
 
+ConnectionLimits toConnectionLimits(const CallerLimits& limits)
+{
+    ConnectionLimits converted;
+    converted.maxConnections = static_cast<std::size_t>(limits.maxConnections);
+    converted.maxHeldBytes = limits.maxHeldBytes;
+    converted.maxHeaderBytes = limits.maxHeaderBytes;
+    converted.maxBodyBytes = limits.maxBodyBytes;
+    converted.headerTimeout = limits.idleTimeout;
+    converted.bodyTimeout = limits.idleTimeout;
+    converted.writeTimeout = limits.idleTimeout;
+    converted.idleTimeout = limits.idleTimeout;
+    return converted;
+}
+
 } // namespace
 
 CallerServer::CallerServer(event_base& base, const CallerLimits& limits, IncarnationId incarnation, Handlers handlers)
@@ -67,22 +81,24 @@
     , limits(limits)
     , incarnation(std::move(incarnation))
     , handlers(std::move(handlers))
-    , limiter(base, limits.maxConnections, limits.idleTimeout)
+    , guard(base, "callers", toConnectionLimits(limits),
+          { [this](evhttp_connection* freed) { this->handleConnectionClosed(freed); },
+              [this](CloseReason reason) { this->handlers.onClosing(reason); } })
     , drainTimer(base, [this] { this->closeDrainedListener(); })
 {
 }
 
 CallerServer::~CallerServer()
 {
-    for (auto& [connection, request] : this->requestOfConnection)
-        evhttp_connection_set_closecb(connection, nullptr, nullptr);
+    // Callers whose connections close from now on have not left by themselves.
+    this->requestOfConnection.clear();
+    this->guard.detach();
+    this->server.reset();
 }
 
 Result<void, GatewayError> CallerServer::listen(const std::string& address, std::uint16_t port)
 {
     this->server.reset(evhttp_new(&this->base));
-    evhttp_set_max_headers_size(this->server.get(), static_cast<ev_ssize_t>(this->limits.maxHeaderBytes));
-    evhttp_set_max_body_size(this->server.get(), static_cast<ev_ssize_t>(this->limits.maxBodyBytes));
     evhttp_set_allowed_methods(
         this->server.get(), EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE | EVHTTP_REQ_HEAD);
     evhttp_set_gencb(
@@ -93,7 +109,7 @@
     if (!this->socket)
         return failure(
             GatewayError { "cannot listen on " + address + ":" + std::to_string(port) + ": " + std::strerror(errno) });
-    this->limiter.attach(*this->server, *this->socket);
+    this->guard.attach(*this->server, *this->socket);
     return success();
 }
 
@@ -113,7 +129,7 @@
         this->drainTimer.schedule(drainCheckInterval);
         return;
     }
-    this->limiter.detach();
+    this->guard.detach();
     evhttp_del_accept_socket(this->server.get(), this->socket);
     this->socket = nullptr;
 }
@@ -126,7 +142,10 @@
 
 void CallerServer::handleRequest(evhttp_request& request)
 {
-    this->limiter.onRequestArrived(evhttp_request_get_connection(&request));
+    if (!this->guard.requestArrived(evhttp_request_get_connection(&request))) {
+        this->refuse(request, CallerRefusal::BodiesFull, "the daemon already holds its limit of bytes");
+        return;
+    }
     std::string path = pathOf(request);
     evhttp_cmd_type method = evhttp_request_get_command(&request);
     bool isStatusPage = path == "/healthz" || path == "/metrics";
@@ -171,27 +190,20 @@
         arrived.request, PendingRequest { &request, arrived.queue, BootClock::now(), takeBytes(body), {} });
     evhttp_connection* connection = evhttp_request_get_connection(&request);
     this->requestOfConnection[connection] = arrived.request;
-    this->watchForClose(connection);
+    CallerServer::watchForClose(connection);
     this->handlers.onRequestArrived(std::move(arrived));
 }
 
 /// Keeps reading while a request waits for its answer, because only a read detects that the caller has disconnected.
-/// Bytes that the caller sends early stay in the buffer, up to the size of one request's headers.
+/// Bytes that the caller sends early stay in the buffer, as many as the guard allows.
 void CallerServer::watchForClose(evhttp_connection* connection)
 {
-    evhttp_connection_set_closecb(
-        connection,
-        [](evhttp_connection* closed, void* server) {
-            static_cast<CallerServer*>(server)->handleConnectionClosed(closed);
-        },
-        this);
     bufferevent* transport = evhttp_connection_get_bufferevent(connection);
     bufferevent_data_cb writeCallback = nullptr;
     bufferevent_event_cb eventCallback = nullptr;
     void* argument = nullptr;
     bufferevent_getcb(transport, nullptr, &writeCallback, &eventCallback, &argument);
     bufferevent_setcb(transport, nullptr, writeCallback, eventCallback, argument);
-    bufferevent_setwatermark(transport, EV_READ, 0, this->limits.maxHeaderBytes);
     bufferevent_enable(transport, EV_READ);
 }
 
@@ -224,8 +236,6 @@
     this->handlers.onAnswered(answer, pending->queue, BootClock::now() - pending->arrivedAt);
     evhttp_connection* connection = evhttp_request_get_connection(&httpRequest);
     this->removePending(answer.request, connection);
-    evhttp_connection_set_closecb(connection, nullptr, nullptr);
-    bufferevent_setwatermark(evhttp_connection_get_bufferevent(connection), EV_READ, 0, 0);
     this->send(httpRequest, response);
 }
 
@@ -253,7 +263,7 @@
         evhttp_add_header(headers, "Connection", "close");
     evbuffer* body = evhttp_request_get_output_buffer(&request);
     evbuffer_add(body, response.body.data(), response.body.size());
-    this->limiter.onRequestAnswered(evhttp_request_get_connection(&request));
+    this->guard.answering(evhttp_request_get_connection(&request));
     evhttp_send_reply(&request, response.status, nullptr, nullptr);
 }
 
--- a/modules/gateway/callers/CallerServer.h
+++ b/modules/gateway/callers/CallerServer.h
@@ -4,9 +4,9 @@
 #include <core/text/Identifier.h>
 #include <gateway/callers/CallerLimits.h>
 #include <gateway/callers/CallerRefusal.h>
-#include <gateway/callers/ConnectionLimiter.h>
 #include <gateway/callers/PendingRequest.h>
 #include <gateway/http/GatewayError.h>
+#include <loop/guard/HttpConnectionGuard.h>
 #include <loop/timers/Timer.h>
 
 #include <cstdint>
@@ -34,6 +34,8 @@
         std::function<void(const AnswerCaller&, const QueueId&, Microseconds latency)> onAnswered;
         /// A request was refused before an id was assigned to it.
         std::function<void(CallerRefusal)> onRefused;
+        /// A connection was closed to keep the limits.
+        std::function<void(CloseReason)> onClosing;
         /// Whether GET /healthz reports that the daemon is serving.
         std::function<bool()> isHealthy;
         /// The body of the response to GET /metrics.
@@ -64,13 +66,14 @@
     void answer(const AnswerCaller&);
 
     std::size_t pendingRequestCount() const { return this->pendingRequests.size(); }
-    int connectionCount() const { return this->limiter.connectionCount(); }
+    std::size_t connectionCount() const { return this->guard.connectionCount(); }
+    std::size_t heldBytes() const { return this->guard.heldBytes(); }
 
 private:
     void closeDrainedListener();
     void handleRequest(evhttp_request&);
     void acceptRequest(evhttp_request&, const std::string& queue);
-    void watchForClose(evhttp_connection*);
+    static void watchForClose(evhttp_connection*);
     void handleConnectionClosed(evhttp_connection*);
     void refuse(evhttp_request&, CallerRefusal, const std::string& detail);
     void send(evhttp_request&, const OutcomeResponse&);
@@ -80,7 +83,7 @@
     CallerLimits limits;
     IncarnationId incarnation;
     Handlers handlers;
-    ConnectionLimiter limiter;
+    HttpConnectionGuard guard;
     EventPointer<evhttp> server;
     evhttp_bound_socket* socket = nullptr;
     Timer drainTimer;
--- a/modules/gateway/tests/CallerServerTests.cpp
+++ b/modules/gateway/tests/CallerServerTests.cpp
@@ -78,8 +78,8 @@
         { [this](RequestArrived request) { this->arrived.push_back(std::move(request)); },
             [this](CallerDisconnected message) { this->disconnects.push_back(std::move(message)); },
             [this](const AnswerCaller&, const QueueId&, Microseconds) { this->answered += 1; },
-            [this](CallerRefusal refusal) { this->refused.push_back(refusal); }, [] { return true; },
-            [] { return std::string("metrics page"); } } };
+            [this](CallerRefusal refusal) { this->refused.push_back(refusal); }, [](CloseReason) {},
+            [] { return true; }, [] { return std::string("metrics page"); } } };
 
     ServerFixture() { BOOST_REQUIRE(this->server.listen("127.0.0.1", this->port).has_value()); }
 
@@ -239,10 +239,10 @@
     for (RawCaller* caller : { &first, &second, &third })
         caller->send(toPost("", "x"));
     this->awaitArrival(2);
-    BOOST_TEST(this->server.connectionCount() == 2);
+    BOOST_TEST(this->server.connectionCount() == 2U);
     first.disconnect();
     this->awaitArrival(3);
-    BOOST_TEST(this->server.connectionCount() == 2);
+    BOOST_TEST(this->server.connectionCount() == 2U);
 }
 
 BOOST_AUTO_TEST_CASE(metricsPageIsServed)
--- a/modules/gateway/traffic/Gateway.cpp
+++ b/modules/gateway/traffic/Gateway.cpp
@@ -17,6 +17,7 @@
                   this->handlers.onAnswered(answer, queue, latency);
               },
               [this](CallerRefusal refusal) { this->handlers.onRefused(refusal); },
+              [this](CloseReason reason) { this->handlers.onCallerClosing(reason); },
               [this] { return this->handlers.isHealthy(); }, [this] { return this->handlers.metricsPage(); } })
     , endpoints(base, this->address, incarnation)
 {
--- a/modules/gateway/traffic/Gateway.h
+++ b/modules/gateway/traffic/Gateway.h
@@ -27,6 +27,7 @@
         std::function<void(RequestInput)> onInput;
         std::function<void(const AnswerCaller&, const QueueId&, Microseconds latency)> onAnswered;
         std::function<void(CallerRefusal)> onRefused;
+        std::function<void(CloseReason)> onCallerClosing;
         std::function<bool()> isHealthy;
         std::function<std::string()> metricsPage;
     };
@@ -49,7 +50,8 @@
         return this->callers.pendingRequestCount() == 0 && this->endpoints.activeExchangeCount() == 0;
     }
 
-    int callerConnectionCount() const { return this->callers.connectionCount(); }
+    std::size_t callerConnectionCount() const { return this->callers.connectionCount(); }
+    std::size_t heldCallerBytes() const { return this->callers.heldBytes(); }
 
 private:
     std::string address;
