mesh: strangers cannot fill a daemon's memory or keep its peers out

With 256 idle connections open, further ones were closed, so that other daemons got no answer.

Why it works: the listener keeps its connections by the same guard as the HTTP servers. While a peer has 64 KiB of answers unread, no further lines of it are taken, and a line carries one call, as daemons send them.

--- a/modules/daemon/process/Daemon.cpp
+++ b/modules/daemon/process/Daemon.cpp
@@ -126,6 +126,7 @@
         const auto& record = this->documents.known().record;
         return record ? &*record : nullptr;
     };
+    handlers.onClosing = [this](CloseReason reason) { this->observer.connectionClosed("mesh", reason); };
     return handlers;
 }
 
--- a/modules/mesh/MeshServer.cpp
+++ b/modules/mesh/MeshServer.cpp
@@ -16,18 +16,20 @@
 class MeshServer::Implementation : public jsonrpc::AbstractServer<MeshServer::Implementation> {
 public:
     Implementation(event_base& base, const std::string& address, std::uint16_t port, Handlers handlers)
-        : Implementation(std::make_unique<LineConnector>(base, address, port), std::move(handlers))
+        : Implementation(std::make_unique<LineConnector>(base, address, port, handlers.onClosing), handlers)
     {
     }
 
     void readState(const Json::Value& parameters, Json::Value& result)
     {
+        this->takeCall(parameters);
         result["call"] = parameters["call"];
         result["value"] = PeerStateCodec::toJson(this->handlers.describe());
     }
 
     void fetchDocument(const Json::Value& parameters, Json::Value& result)
     {
+        this->takeCall(parameters);
         const DocumentRecord* record = this->handlers.currentDocument();
         if (!record || !parameters["revision"].isUInt64() || record->revision < parameters["revision"].asUInt64())
             refuse(parameters, "this daemon has no document of the requested revision or newer");
@@ -46,6 +48,12 @@
         throw jsonrpc::JsonRpcException(jsonrpc::Errors::ERROR_RPC_INVALID_PARAMS, detail, data);
     }
 
+    void takeCall(const Json::Value& parameters)
+    {
+        if (!this->connector->takeCall())
+            refuse(parameters, "the line has too many calls");
+    }
+
     Implementation(std::unique_ptr<LineConnector> connector, Handlers handlers)
         : jsonrpc::AbstractServer<MeshServer::Implementation>(*connector, jsonrpc::JSONRPC_SERVER_V2)
         , connector(std::move(connector))
--- a/modules/mesh/MeshServer.h
+++ b/modules/mesh/MeshServer.h
@@ -2,6 +2,7 @@
 
 #include <core/errors/Result.h>
 #include <fleet/peers/PeerState.h>
+#include <loop/guard/CloseReason.h>
 #include <mesh/MeshError.h>
 
 #include <cstdint>
@@ -23,6 +24,8 @@
         std::function<PeerState()> describe;
         /// Returns the record of the document that this daemon has applied, or null if there is none.
         std::function<const DocumentRecord*()> currentDocument;
+        /// A connection was closed to keep the limits.
+        std::function<void(CloseReason)> onClosing;
     };
 
     MeshServer(event_base&, std::string address, std::uint16_t port, Handlers);
--- a/modules/mesh/tests/MeshTests.cpp
+++ b/modules/mesh/tests/MeshTests.cpp
@@ -43,7 +43,7 @@
     std::optional<DocumentRecord> document;
     SocketAddress address { "127.0.0.1", static_cast<std::uint16_t>(basePort + getpid() % portRange) };
     MeshServer server { loop.base(), address.address, address.port,
-        { makeState, [this] { return this->document ? &*this->document : nullptr; } } };
+        { makeState, [this] { return this->document ? &*this->document : nullptr; }, [](CloseReason) {} } };
     std::optional<Result<PeerState, MeshError>> answer;
     std::optional<Result<DocumentRecord, MeshError>> fetched;
 
