--- a/review/14/case.py
+++ b/review/14/case.py
@@ -1,54 +1,47 @@
-"""Processes answer by an old configuration for over `contact_ms` after the store is back from an outage."""
+"""A job whose cancelling was acknowledged is stored and started by a process that was frozen meanwhile."""
 import asyncio
 import os
+import signal
 import sys
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(FOLDER, '..', 'common-3'))
 from site_3 import BOUNDS, now, play
 
-REFUSES_S, SILENT_S = 3.95, 4.3
-ADDED = '/returns/'
-CONTACT_S, APPLY_S = BOUNDS['contact_ms'] / 1000, BOUNDS['config_apply_ms'] / 1000
+JOB = '00000000000000b1'
+FREEZE_S = 0.45
+LEAVES_AFTER_S = 0.3
+CANCEL_S = BOUNDS['cancel_ms'] / 1000
 
 
 async def body(site, trouble):
     await site.start()
+    leader = site.leader()
+    frozen, other = [daemon for daemon in site.daemons if daemon is not leader][:2]
+    order = {'spec': 'ms=4000', 'steps': [{'count': 2, 'cpu': 1000, 'mem_mb': 256, 'est_duration_ms': 4000},
+                                          {'count': 2, 'cpu': 1000, 'mem_mb': 256, 'est_duration_ms': 4000,
+                                           'after': [0]}]}
+    began = now()
     if trouble:
-        site.record.say('the store resets all connections')
-        site.store.mode = 'reset'
-        site.store.reset_connections()
-        await asyncio.sleep(REFUSES_S)
-        site.record.say('the store accepts connections and answers nothing')
-        site.store.mode = 'silent'
-        await asyncio.sleep(SILENT_S)
-        site.store.mode = 'up'
-    back = now()
-    site.record.say('the store is up')
-    await asyncio.sleep(0.3)
-    acknowledged = await site.configure(more_prefixes=[ADDED])
-    judged_from = max(back + CONTACT_S, acknowledged + APPLY_S)
-    await asyncio.sleep(judged_from - now())
-    late = []
-
-    async def ask(daemon):
-        while now() < judged_from + 1.5:
-            sent = now()
-            status, value = await daemon.call('GET', ADDED, headers={'Authorization': 'Token key-of-tenant-1'})
-            site.record('client', 'GET', ADDED, 'to', daemon.name, 'gets', status, value)
-            if status == 404:
-                late.append((sent, daemon.name))
-            await asyncio.sleep(0.02)
-
-    await asyncio.gather(*(ask(daemon) for daemon in site.daemons))
-    for name in sorted({name for _, name in late}):
-        times = [at for at, other in late if other == name]
-        site.record.say('CONFIG:', name, 'answers 404 for a route that is there,', len(times), 'times, from',
-                        f'{times[0] - acknowledged:.2f} to {times[-1] - acknowledged:.2f} s after the version was '
-                        f'acknowledged and {times[0] - back:.2f} to {times[-1] - back:.2f} s after the store was back')
-    if not late:
-        site.record.say('the rule held')
-    return not late
+        frozen.signal(signal.SIGSTOP)
+    status, _ = await site.client(frozen, 'POST', JOB, order, timeout=LEAVES_AFTER_S)
+    site.record.say('the client leaves' if status is None else f'the client gets {status}')
+    cancelled = None
+    while cancelled not in (200, 410):
+        cancelled, _ = await site.client(other, 'DELETE', JOB)
+    acknowledged = now()
+    site.record.say('the cancelling is acknowledged with', cancelled)
+    if trouble:
+        await asyncio.sleep(max(0, FREEZE_S - (now() - began)))
+        frozen.signal(signal.SIGCONT)
+    await asyncio.sleep(12)
+    late = [(at, minion, task) for at, minion, task, _ in site.starts
+            if task.startswith(JOB) and at - acknowledged > CANCEL_S]
+    for at, minion, task in late:
+        site.record.say('UNASKED:', task, 'is started on', minion, f'{at - acknowledged:.2f} s after the cancelling of '
+                        'its job was acknowledged; the leader', leader.name, 'was never disturbed')
+    site.record.say('the job is', await site.state(JOB, other))
+    return not late and site.leader() is leader
 
 
 play(FOLDER, body)
