--- a/review/common-3/site_3.py
+++ b/review/common-3/site_3.py
@@ -243,16 +243,39 @@
         self.ends = 0
         self.highest = {}
         self.sequence = 0
+        self.acknowledged = 0
+        self.is_up = True
         self.end_listed = asyncio.Condition()
 
     def clock(self):
         return int((now() - self.began) * 1000)
 
-    async def start(self):
+    async def start(self, first_beat_s=0):
         await super().start()
-        self.tasks = [asyncio.create_task(self.beat()), asyncio.create_task(self.tick())]
-
-    async def beat(self):
+        self.tasks = [asyncio.create_task(self.beat(first_beat_s)), asyncio.create_task(self.tick())]
+
+    def crash(self):
+        """Ends this life: everything that runs is gone, and nobody is told."""
+        for task in self.tasks:
+            task.cancel()
+        self.stop()
+        self.is_up = False
+        for key in self.running:
+            self.site.record('minion', self.name, 'crash ends', key[0], 'run', key[1])
+        self.running = {}
+        self.site.record('minion', self.name, 'crashes')
+
+    async def restart(self, first_beat_s):
+        """Begins a new life under the same id and address, which knows nothing of the one before."""
+        self.began, self.born = now(), int(time.time() * 1000)
+        self.token, self.lease_ms, self.ends, self.acknowledged, self.sequence = 0, 0, 0, 0, 0
+        self.ended, self.highest = [], {}
+        self.is_up = True
+        self.site.record('minion', self.name, 'starts again, born', self.born)
+        await self.start(first_beat_s)
+
+    async def beat(self, first_beat_s):
+        await asyncio.sleep(first_beat_s)
         while True:
             self.sequence += 1
             await self.site.store.put('servers/' + self.name, {
@@ -298,6 +321,8 @@
             return 400, {'clock_ms': self.clock()}
         if body.get('fencing_token', 0) < self.token:
             return 409, {'clock_ms': self.clock(), 'reason': 'fence'}
+        if target == '/v1/run-start' and self.site.holds_up and self.site.holds_up(self, body):
+            return None
         self.token = body.get('fencing_token', 0)
         if target == '/v1/run-start':
             return self.run_start(body)
@@ -309,6 +334,17 @@
             return 200, {'clock_ms': self.clock()}
         return 404, {'clock_ms': self.clock()}
 
+    def carry_out_late(self, body):
+        """A start order that was held up arrives. Nobody gets the answer."""
+        if body['fencing_token'] < self.token:
+            reply = 409, {'reason': 'fence'}
+        else:
+            self.token = body['fencing_token']
+            reply = self.run_start(body)
+        self.site.record('minion', self.name, 'gets the order that was held up,', body['task'], 'run', body['run'],
+                         'deadline', body['deadline_ms'], 'clock', self.clock(), 'and answers', reply)
+        return reply[0] == 200
+
     def run_start(self, body):
         key = (body['task'], body['run'])
         clock = {'clock_ms': self.clock()}
@@ -339,6 +375,7 @@
 
     async def hold(self, body):
         self.extend(body)
+        self.acknowledged = max(self.acknowledged, body.get('ack_cursor', 0))
         self.ended = [row for row in self.ended if row[0] > body.get('ack_cursor', 0)]
         until = now() + min(body.get('wait_ms', 0), 2000) / 1000
         while not self.ended and now() < until:
@@ -361,8 +398,9 @@
     async def answer(self, method, target, headers, body):
         if not target.startswith('/v1/machines'):
             return 409, {'reason': 'busy'}
-        rows = [{'machine': minion.machine, 'pool': minion.service, 'state': 'up', 'zone': 'zone-a',
-                 'labels': minion.labels, 'capacity': minion.capacity, 'id': minion.name}
+        rows = [{'machine': minion.machine, 'pool': minion.service, 'state': 'up' if minion.is_up else 'down',
+                 'zone': 'zone-a', 'labels': minion.labels, 'capacity': minion.capacity,
+                 'id': minion.name if minion.is_up else None}
                 for minion in self.site.minions]
         return 200, {'machines': rows, 'next_token': None}
 
@@ -442,6 +480,8 @@
         self.record = Record(folder)
         self.temporary = tempfile.mkdtemp(prefix='review-3-')
         self.starts, self.ends, self.jobs = [], [], {}
+        # Decides of a start order that arrives whether it is held up; it gets no answer then.
+        self.holds_up = None
         self.store = Store('127.83.0.1')
         self.machines = Machines(self, '127.83.0.2')
         self.minions = [Minion(self, f'i-{number:08x}', f'127.82.0.{number}', self.service, f'm-{number:05x}',
