coordinator: workers that may get an open copy of a start order are called until they answer

The first copy of its start order got no answer and was held up for 6.4 s; the second one was carried out, the end was acknowledged, the worker crashed and started again, and the first copy began the task 5.2 s after its end.

Cause: that a copy is open stood in the attempt, and went with its end. From then on nobody knew that the next incarnation had to be reached before the copy, and a worker that is down was called up to 1 s apart.

The log lines of renewals that fail and recover now tell whether copies are open, how many calls failed, and the token.

Repair: the worker's row holds its open copies (OpenCopies), whatever becomes of attempt and job. A new leader presumes them for each worker, for 12 s from the end of the last leader's orders. While no connection to such a worker can be established, it is called in each tick; at most 8 calls each 20 ms go to all such workers together, those with known copies first (ReconnectSelector). Its row is kept for that long. A worker that is slow or does not answer is not called more often. The first call to the new incarnation carries a higher token, so it refuses the copy.

--- a/modules/coordinator/placing/Coordinator.h
+++ b/modules/coordinator/placing/Coordinator.h
@@ -286,6 +286,7 @@
         tables.inheritedLeasesExpire = inheritedExpire(LeaseManager<Link>::longestLease(this->limits.leaseDuration));
         tables.inheritedLongestLeasesExpire
             = inheritedExpire(LeaseManager<Link>::longestLeaseOfUnknown(this->limits.longestGrantedLease));
+        tables.inheritedCopiesArriveUntil = inheritedExpire(OpenCopies::longestDelay);
         this->session->jobsMirror.start();
         if (this->onWorkerWatchNeededChange)
             this->onWorkerWatchNeededChange(true);
--- a/modules/coordinator/placing/LeaseManager.h
+++ b/modules/coordinator/placing/LeaseManager.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <coordinator/leadership/OpenOrdersCodec.h>
+#include <coordinator/placing/ReconnectSelector.h>
 #include <coordinator/workers/WorkerLink.h>
 #include <core/errors/WorkScope.h>
 #include <core/log/Log.h>
@@ -12,6 +13,7 @@
 #include <algorithm>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string_view>
 #include <unordered_map>
 #include <utility>
@@ -231,8 +233,11 @@
         std::uint64_t number = 0;
         bool isUnderWay = false;
         bool isProbing = false;
+        Instant sentAt;
         Deadline next;
         int failures = 0;
+        /// Why the latest renewal failed, if it did.
+        std::optional<WorkerFailure> lastFailure;
         /// Unreadable ends up to this number have been logged.
         std::uint64_t loggedUnreadableEnd = 0;
         Deadline nextUnreadableLine;
@@ -240,16 +245,25 @@
 
     void renewLeases(Instant now)
     {
+        std::vector<ReconnectSelector::Candidate> disconnected;
         for (auto& [id, worker] : this->tables.workers) {
             Renewal& renewal = this->renewals[id];
-            if (renewal.isUnderWay || (!renewal.next.hasPassed(now)))
+            if (renewal.isUnderWay)
                 continue;
+            if (!renewal.next.hasPassed(now)) {
+                if (renewal.lastFailure == WorkerFailure::NotConnected && this->tables.mayCopyArrive(worker, now))
+                    disconnected.push_back({ id, worker.openCopies.mayArrive(now), renewal.sentAt });
+                continue;
+            }
             // Until then, the renewal would acknowledge not all of the reported ends, or none.
             bool isEarly = worker.storedEnds < worker.appliedEnds || LeaseManager::awaitsStartAnswer(worker);
             if (isEarly && now - worker.lastReport < longestRecordWait)
                 continue;
             this->renew(worker, renewal, now);
         }
+        // A new incarnation refuses the open copies of start orders once a call has reached it before them.
+        for (const auto& id : this->reconnects.select(std::move(disconnected), now))
+            this->renew(this->tables.workers.at(id), this->renewals[id], now);
     }
 
     void renew(WorkerRow& worker, Renewal& renewal, Instant now)
@@ -267,6 +281,7 @@
         }
         renewal.isUnderWay = true;
         renewal.number += 1;
+        renewal.sentAt = now;
         this->link.renew(this->endpointOf(worker), order,
             [this, alive = this->alive, id = worker.info.id, number = renewal.number, token = order.fencingToken, now](
                 auto result) {
@@ -355,8 +370,14 @@
             worker->info.incarnationUnixMs = report.incarnationUnixMs;
         }
         if (renewal.failures)
-            writeLog(LogLevel::Info, LogLine("lease_renewal_recovered").add("worker", id.string()));
+            writeLog(LogLevel::Info,
+                LogLine("lease_renewal_recovered")
+                    .add("worker", id.string())
+                    .add("failures", renewal.failures)
+                    .add("token", token)
+                    .add("open_copies", this->tables.mayCopyArrive(*worker, now)));
         renewal.failures = 0;
+        renewal.lastFailure.reset();
         worker->isSuspect = false;
         this->applyReport(*worker, report, sentAt, now);
         // Ends that cannot be acknowledged yet keep answers from waiting for others.
@@ -400,13 +421,15 @@
                 LogLine("lease_renewal_failed")
                     .add("worker", worker.info.id.string())
                     .add("reason", nameOf(failure))
-                    .add("attempts", worker.attempts.size()));
+                    .add("attempts", worker.attempts.size())
+                    .add("open_copies", this->tables.mayCopyArrive(worker, now)));
         // The first failures may be lost answers, and the lease is about to expire.
         Milliseconds pause { 0 };
         if (renewal.failures >= retriesWithoutPause)
             pause = std::min(
                 longestRenewalRetry, firstRenewalRetry * (1 << std::min(renewal.failures - retriesWithoutPause, 4)));
         renewal.failures += 1;
+        renewal.lastFailure = failure;
         renewal.next = Deadline::after(now, pause);
         LeaseManager::suspect(worker);
         if (failure == WorkerFailure::OtherIncarnation)
@@ -565,7 +588,7 @@
                 tables.clearWorker(worker, LeaseManager::lossReasonOf(worker), now);
             } else if (worker.isSuspect)
                 this->releaseLost(worker, now);
-            if (isOver && !worker.isListed && !this->renewals[entry->first].isUnderWay) {
+            if (isOver && !worker.isListed && !this->mustBeCalled(worker, now)) {
                 this->renewals.erase(entry->first);
                 entry = tables.workers.erase(entry);
             } else
@@ -573,6 +596,15 @@
         }
     }
 
+    /// Whether a call to the worker is under way, or a copy of a start order may reach the worker if it starts again.
+    /// At an address where another worker answers, copies are refused.
+    bool mustBeCalled(const WorkerRow& worker, Instant now)
+    {
+        const Renewal& renewal = this->renewals[worker.info.id];
+        return renewal.isUnderWay
+            || (this->tables.mayCopyArrive(worker, now) && renewal.lastFailure != WorkerFailure::OtherIncarnation);
+    }
+
     void logEvents(const std::vector<AttemptEvent>& events)
     {
         for (const auto& event : events) {
@@ -592,6 +624,7 @@
     Milliseconds longestGrantedLease;
     Handlers handlers;
     std::unordered_map<WorkerId, Renewal> renewals;
+    ReconnectSelector reconnects;
     std::shared_ptr<bool> alive;
 };
 
--- a/modules/coordinator/placing/OrderSender.h
+++ b/modules/coordinator/placing/OrderSender.h
@@ -201,6 +201,7 @@
         start.ticket = attempt.ticket;
         attempt.startOrdersSent += 1;
         attempt.lastSentAt = now;
+        worker.openCopies.recordSent();
         this->leases.extendLease(worker, now, PlacementSystem::orderValidFor);
         attempt.nextStartOrder = Deadline::after(now, startRetry);
         this->link.start(this->leases.endpointOf(worker), start,
@@ -221,6 +222,7 @@
         WorkerRow* worker = tables.findWorker(order.worker);
         if (!worker)
             return;
+        worker->openCopies.recordEnded(outcome != StartOutcome::NoAnswer, BootClock::now());
         // It may be held up until the worker has started again, and no other call need fail meanwhile.
         if (outcome == StartOutcome::NoAnswer)
             worker->needsHigherToken = true;
--- a/modules/coordinator/tests/FakeWorkers.h
+++ b/modules/coordinator/tests/FakeWorkers.h
@@ -47,6 +47,8 @@
         bool isRenewed = false;
         /// The highest number of an end that was reported.
         std::uint64_t reportedEnds = 0;
+        /// Whether the connections to the former incarnation were reset when it ended.
+        bool hasResetConnections = false;
     };
 
     /// The longest lease that a worker grants.
@@ -168,6 +170,10 @@
 
     /// Workers that this daemon cannot reach.
     std::set<WorkerId> unreachable;
+    /// Workers that are down: they refuse connections.
+    std::set<WorkerId> down;
+    /// How many renewals were sent to each worker that did not answer them.
+    std::map<WorkerId, std::size_t> failedRenewals;
     /// Addresses at which another worker answers.
     std::set<std::string> replacedAddresses;
     /// How many of the next start orders, and of the next renewals, are lost.
@@ -178,6 +184,8 @@
     /// are lost.
     int lateStarts = 0;
     Milliseconds lateStartDelay { 0 };
+    /// Whether repetitions of such orders are carried out at once.
+    bool repetitionsArrive = false;
     /// The worker of the latest such order.
     std::optional<WorkerId> heldUpAt;
     /// How long the answer to such an order is waited for.
@@ -208,9 +216,11 @@
             return;
         }
         StartAnswer answer = StartOutcome::NoAnswer;
-        if (this->loseStarts > 0)
+        if (this->down.contains(endpoint.id))
+            answer = StartOutcome::NotSent;
+        else if (this->loseStarts > 0)
             this->loseStarts -= 1;
-        else if (this->heldUp.contains({ order.task, order.run }))
+        else if (this->heldUp.contains({ order.task, order.run }) && !this->repetitionsArrive)
             answer = StartOutcome::NoAnswer;
         else if (this->lateStarts > 0) {
             this->lateStarts -= 1;
@@ -266,7 +276,14 @@
                 [callback = std::move(callback)] { callback(WorkerFailure::OtherIncarnation); });
             return;
         }
+        if (this->down.contains(endpoint.id)) {
+            this->failedRenewals[endpoint.id] += 1;
+            after(this->base, Milliseconds(1),
+                [callback = std::move(callback)] { callback(WorkerFailure::NotConnected); });
+            return;
+        }
         if (this->unreachable.contains(endpoint.id) || this->loseRenewals > 0) {
+            this->failedRenewals[endpoint.id] += 1;
             this->loseRenewals -= this->loseRenewals > 0 ? 1 : 0;
             after(this->base, order.wait + Milliseconds(50),
                 [callback = std::move(callback)] { callback(WorkerFailure::NoAnswer); });
@@ -351,8 +368,9 @@
     {
         auto& worker = this->workers.workers[id];
         if (worker.incarnationUnixMs != incarnation) {
-            after(this->base,
-                std::chrono::duration_cast<Milliseconds>(until.remaining(BootClock::now())) + Milliseconds(50),
+            auto untilTimeout
+                = std::chrono::duration_cast<Milliseconds>(until.remaining(BootClock::now())) + Milliseconds(50);
+            after(this->base, worker.hasResetConnections ? Milliseconds(1) : untilTimeout,
                 [callback = std::move(callback)] { callback(WorkerFailure::NoAnswer); });
             return;
         }
--- a/modules/coordinator/workers/WorkerFailure.h
+++ b/modules/coordinator/workers/WorkerFailure.h
@@ -13,14 +13,17 @@
     /// The worker answered that it is unhealthy, or its answer could not be parsed.
     Unhealthy,
     NoAnswer,
+    /// No connection was established, so the call was not sent.
+    NotConnected,
 };
 
 template <> struct EnumNames<WorkerFailure> {
-    static constexpr std::array<std::pair<WorkerFailure, std::string_view>, 4> table { {
+    static constexpr std::array<std::pair<WorkerFailure, std::string_view>, 5> table { {
         { WorkerFailure::Fenced, "fenced" },
         { WorkerFailure::OtherIncarnation, "other_incarnation" },
         { WorkerFailure::Unhealthy, "unhealthy" },
         { WorkerFailure::NoAnswer, "no_answer" },
+        { WorkerFailure::NotConnected, "not_connected" },
     } };
 };
 
--- a/modules/jobs/tables/JobTables.cpp
+++ b/modules/jobs/tables/JobTables.cpp
@@ -156,6 +156,11 @@
     return found != this->setAsideUntil.end() && !found->second.hasPassed(now);
 }
 
+bool JobTables::mayCopyArrive(const WorkerRow& worker, Instant now) const
+{
+    return worker.openCopies.mayArrive(now) || !this->inheritedCopiesArriveUntil.hasPassed(now);
+}
+
 bool JobTables::isWithinMaximum(const JobRow& job, const ResourceAmount& demand) const
 {
     auto team = this->policies->teams.find(job.record.team);
--- a/modules/jobs/tables/JobTables.h
+++ b/modules/jobs/tables/JobTables.h
@@ -37,6 +37,8 @@
     Deadline inheritedLeasesExpire;
     /// The same for a worker that has started again, which may hold the longest lease that workers grant.
     Deadline inheritedLongestLeasesExpire;
+    /// Until then, any worker may carry out copies of start orders that earlier leaders sent.
+    Deadline inheritedCopiesArriveUntil;
     /// What the leaders before have told of their orders.
     OpenOrders openOrders;
     /// Whether the last leader's worker roster could not be read. Then workers may run attempts that neither the
@@ -66,6 +68,9 @@
     /// Whether no task of the job is started for now, because an unforeseen error came with its handling.
     bool isSetAside(const JobId&, Instant now) const;
 
+    /// Whether the worker may still carry out a copy of a start order, of this leader or of an earlier one.
+    bool mayCopyArrive(const WorkerRow&, Instant now) const;
+
     /// Whether the job's team stays within its maximum if it uses `demand` besides.
     bool isWithinMaximum(const JobRow&, const ResourceAmount& demand) const;
 
--- a/modules/jobs/tables/WorkerRow.h
+++ b/modules/jobs/tables/WorkerRow.h
@@ -3,6 +3,7 @@
 #include <core/time/Deadline.h>
 #include <jobs/model/WorkerInfo.h>
 #include <jobs/tables/Attempt.h>
+#include <jobs/tables/OpenCopies.h>
 
 #include <cstdint>
 #include <map>
@@ -26,6 +27,8 @@
     std::map<TaskName, Attempt> attempts;
     /// Orphaned attempts: they run on the worker but are not in the tables, so the worker has to stop them.
     std::map<std::pair<TaskName, std::uint32_t>, Attempt> orphans;
+    /// The copies of start orders, of this leader, that any incarnation of the worker may still carry out.
+    OpenCopies openCopies;
     /// Reported ends with numbers up to this one have been applied.
     std::uint64_t appliedEnds = 0;
     /// Reported ends with numbers up to this one are stored, so the worker may discard them.
--- a/tests/takeovers/ModelLink.h
+++ b/tests/takeovers/ModelLink.h
@@ -45,7 +45,8 @@
             link.start(endpoint, order, std::move(answer));
             onLease(endpoint.id, order.fencingToken);
         };
-        this->send<StartAnswer>(endpoint, carryOut, callback, StartOutcome::NoAnswer,
+        this->send<StartAnswer>(endpoint, carryOut, callback,
+            { StartOutcome::NoAnswer, StartOutcome::NotSent, StartOutcome::NoAnswer },
             [this, &endpoint, &order](Instant arrival) { this->releases.noteUnderWay(endpoint.id, order, arrival); });
     }
 
@@ -53,7 +54,7 @@
     {
         auto carryOut = [endpoint, order](
                             FakeLink& link, OrderCallback answer) { link.stop(endpoint, order, std::move(answer)); };
-        this->send<bool>(endpoint, carryOut, callback, false);
+        this->send<bool>(endpoint, carryOut, callback, { false, false, false });
     }
 
     void throttle(const WorkerEndpoint& endpoint, const ThrottleAttempt& order, OrderCallback callback)
@@ -75,7 +76,8 @@
             if (order.leaseUntilClockMs)
                 onLease(endpoint.id, order.fencingToken);
         };
-        this->send<Result<WorkerReport, WorkerFailure>>(endpoint, carryOut, callback, WorkerFailure::NoAnswer);
+        this->send<Result<WorkerReport, WorkerFailure>>(endpoint, carryOut, callback,
+            { WorkerFailure::NoAnswer, WorkerFailure::NotConnected, WorkerFailure::NotConnected });
     }
 
     FakeLink fake;
@@ -83,9 +85,18 @@
 private:
     static constexpr Milliseconds callTimeout { 400 };
 
+    /// What a caller learns of a call that is not answered.
+    template <typename Answer> struct Failures {
+        Answer noAnswer;
+        /// The worker refused the connection.
+        Answer refused;
+        /// The worker is down or cut off, and nobody refused the connection.
+        Answer silent;
+    };
+
     template <typename Answer, typename CarryOut, typename Callback>
     void send(
-        const WorkerEndpoint& endpoint, CarryOut carryOut, Callback callback, Answer noAnswer,
+        const WorkerEndpoint& endpoint, CarryOut carryOut, Callback callback, const Failures<Answer>& failures,
         const std::function<void(Instant)>& onUnderWay = [](Instant) {})
     {
         const WorkerFaults& faults = this->faults[endpoint.id];
@@ -93,11 +104,12 @@
         if (const auto& process = loop.running(); process && process->isFrozen(loop.now())) {
             onUnderWay(process->frozenUntil);
             // When the process goes on, it has waited too long for the answer already.
-            loop.schedule(Milliseconds(0), process, [this, &faults, id = endpoint.id, carryOut, callback, noAnswer] {
-                if (!faults.isDown && !this->fake.unreachable.contains(id))
-                    VirtualLoop::shared().runAs(nullptr, [&] { carryOut(this->network, [](const Answer&) {}); });
-                callback(noAnswer);
-            });
+            loop.schedule(Milliseconds(0), process,
+                [this, &faults, id = endpoint.id, carryOut, callback, noAnswer = failures.noAnswer] {
+                    if (!faults.isDown && !this->fake.unreachable.contains(id))
+                        VirtualLoop::shared().runAs(nullptr, [&] { carryOut(this->network, [](const Answer&) {}); });
+                    callback(noAnswer);
+                });
             return;
         }
         bool isReached = !faults.isDown && !this->fake.unreachable.contains(endpoint.id);
@@ -106,9 +118,11 @@
             carryOut(this->fake, std::move(callback));
             return;
         }
-        bool failsAtOnce = !isReached && faults.isResetting;
-        loop.schedule(
-            failsAtOnce ? Milliseconds(1) : callTimeout, loop.running(), [callback, noAnswer] { callback(noAnswer); });
+        bool isRefused = faults.refusesConnections() && !this->fake.unreachable.contains(endpoint.id);
+        bool isReset = !isReached && faults.isResetting;
+        Answer failure = isRefused ? failures.refused : isReached || isReset ? failures.noAnswer : failures.silent;
+        loop.schedule(isRefused || isReset ? Milliseconds(1) : callTimeout, loop.running(),
+            [callback, failure] { callback(failure); });
         if (!isReached)
             return;
         Milliseconds delay(isHeldUp ? 2000 + this->random() % 10'000 : 0);
--- a/tests/takeovers/ModelWorld.cpp
+++ b/tests/takeovers/ModelWorld.cpp
@@ -194,12 +194,16 @@
     if (!this->restarting.insert(id).second)
         return;
     this->restarts += 1;
+    // The host vanishes with the process, or goes on and resets its connections.
+    bool isHostLost = this->random() % 4 == 0;
     this->workers.restart(id);
+    this->workers.workers[id].hasResetConnections = !isHostLost;
     this->workerFaults[id].isDown = true;
+    this->workerFaults[id].isRefusing = !isHostLost;
     VirtualLoop::shared().schedule(down, nullptr, [this, id] {
         this->restarting.erase(id);
         this->workers.restart(id, 0);
-        this->workerFaults[id].isDown = false;
+        this->workerFaults[id].isDown = this->workerFaults[id].isRefusing = false;
     });
     if (!listedAfter)
         return;
--- a/tests/takeovers/TakeoverPlay.cpp
+++ b/tests/takeovers/TakeoverPlay.cpp
@@ -58,6 +58,45 @@
     this->world.runCalmly(Seconds(9));
 }
 
+void TakeoverPlay::playOpenCopies(std::size_t rounds)
+{
+    this->world.runUntil([this] { return this->world.actingLeader(); }, Seconds(10));
+    this->world.submitJob(4);
+    this->world.runFor(Seconds(3));
+    for (std::size_t round = 0; round < rounds; ++round)
+        this->playRoundOfOpenCopies();
+}
+
+void TakeoverPlay::playRoundOfOpenCopies()
+{
+    for (int step = 0; step < 4; ++step) {
+        std::vector<WorkerId> harmed;
+        for (const auto& id : this->world.workersInTouch()) {
+            if (this->happens(70))
+                harmed.push_back(id);
+        }
+        for (const auto& id : harmed)
+            this->world.workerFaults[id].heldUpPercent = 20 + this->world.random() % 60;
+        for (std::size_t number = 2 + this->world.random() % 4; number > 0; --number)
+            this->world.submitShortJob(1 + this->world.random() % 4, this->between(100, 1500));
+        this->world.runFor(this->between(150, 800));
+        for (const auto& id : harmed)
+            this->world.workerFaults[id].heldUpPercent = 0;
+        // Most of the tasks have ended by now.
+        this->world.runFor(this->between(500, 4000));
+        for (const auto& id : harmed) {
+            auto listedAfter = this->happens(70) ? std::optional(this->between(0, 1500)) : std::nullopt;
+            this->world.restartWorker(id, this->between(50, 5000), listedAfter);
+        }
+        if (this->happens(20))
+            this->harmLeader();
+        this->world.runFor(this->between(3000, 8000));
+    }
+    this->world.runFor(Seconds(10));
+    this->healAll();
+    this->world.runCalmly(Seconds(9));
+}
+
 void TakeoverPlay::playHandOvers(std::size_t rounds)
 {
     this->world.runUntil([this] { return this->world.actingLeader(); }, Seconds(10));
--- a/tests/takeovers/TakeoverPlay.h
+++ b/tests/takeovers/TakeoverPlay.h
@@ -19,6 +19,10 @@
     /// with lost leaders in between.
     void playRestarts(std::size_t rounds);
 
+    /// Plays workers that crash after the ends of their tasks are stored, while copies of the start orders are held up,
+    /// and start again after up to 5 s.
+    void playOpenCopies(std::size_t rounds);
+
     /// Plays chains of planned hand-overs after workers were lost or cut off, around start orders without an answer.
     void playHandOvers(std::size_t rounds);
 
@@ -31,6 +35,7 @@
 private:
     void playRound();
     void playRoundOfRestarts();
+    void playRoundOfOpenCopies();
     void playRoundOfHandOvers();
     void playRoundOfChains();
     void handOver();
--- a/tests/takeovers/TakeoverTests.cpp
+++ b/tests/takeovers/TakeoverTests.cpp
@@ -101,6 +101,22 @@
     BOOST_TEST(summary.violations.empty());
 }
 
+/// Plays open copies of start orders until there were `atLeast` restarts of workers.
+void playOpenCopies(std::size_t daemons, std::size_t atLeast)
+{
+    startLog(std::getenv("GREENGAGE_PLAY_LOG") ? LogLevel::Info : LogLevel::Error);
+    constexpr std::size_t roundsPerSeed = 3;
+    Summary summary;
+    for (std::uint64_t seed = firstSeed(); summary.restarts < atLeast; ++seed) {
+        TakeoverPlay play(seed, daemons);
+        play.world.holdsCallsUp = true;
+        play.playOpenCopies(roundsPerSeed);
+        summary.add(play.world);
+    }
+    summary.print(daemons);
+    BOOST_TEST(summary.violations.empty());
+}
+
 /// Plays chains of planned hand-overs until there were `atLeast` of them.
 void playHandOvers(std::size_t daemons, std::size_t atLeast)
 {
@@ -146,6 +162,11 @@
 BOOST_AUTO_TEST_CASE(heldUpCallsRunNoTaskTwiceOnceAWorkerIsReached) { playRestarts(3, 5 * takeoversWanted(), true); }
 BOOST_AUTO_TEST_CASE(heldUpCallsRunNoTaskTwiceWith7Daemons) { playRestarts(7, 2 * takeoversWanted(), true); }
 
+/// Guards against copies of start orders that nobody knows of once their tasks have ended, and that a worker which
+/// starts again carries out before anybody calls it.
+BOOST_AUTO_TEST_CASE(openCopiesRunNoTaskAgain) { playOpenCopies(3, 5 * takeoversWanted()); }
+BOOST_AUTO_TEST_CASE(openCopiesRunNoTaskAgainWith7Daemons) { playOpenCopies(7, 2 * takeoversWanted()); }
+
 /// Guards against long-running tasks for which each leader waits anew.
 BOOST_AUTO_TEST_CASE(chainsOfHandOversLeaveNoLongRunningTaskOut) { playHandOvers(3, 3 * takeoversWanted()); }
 BOOST_AUTO_TEST_CASE(chainsOfHandOversLeaveNoLongRunningTaskOutWith7Daemons)
