jobs: a task may start while its team uses less than its maximum

Cause: JobTables::isWithinMaximum asked for use + task <= maximum, which is less than LOST asks for once the task is larger than what the use leaves.

Repair: in each limited resource that the task needs, the team uses less than the maximum (TeamMaximum). Every accepted task starts in the end, whatever its size, and the team exceeds the maximum by less than one task, which QUOTA allows.

Evidence: with the former rule in TeamMaximum, seven of the nine cases of Maxima fail, aTaskStartsWhileItsTeamIsBelow- ALoweredMaximum among them; tasksOfDifferentSizesStartInTheirOrder shows a large task behind small ones. All hold now.

--- a/modules/jobs/systems/AbsenceMonitor.cpp
+++ b/modules/jobs/systems/AbsenceMonitor.cpp
@@ -96,10 +96,10 @@
     if (this->tables.isSetAside(job.record.id, now))
         return { AbsenceReason::JobSetAside, {} };
     const StepSpec& step = job.record.spec.steps[task.step];
-    if (!this->tables.isWithinMaximum(job, step.demand))
-        return { AbsenceReason::TeamAtMaximum, {} };
     if (step.gang && row.waitingCount() != row.tasks.size())
         return { AbsenceReason::GangIncomplete, {} };
+    if (!this->tables.doesMaximumPermit(job, step))
+        return { AbsenceReason::TeamAtMaximum, {} };
     Obstacle nearest;
     for (const auto& [id, worker] : this->tables.workers) {
         if (worker.info.pool != queue->pool)
--- a/modules/jobs/systems/MaintenanceSystem.cpp
+++ b/modules/jobs/systems/MaintenanceSystem.cpp
@@ -155,7 +155,7 @@
 {
     const StepSpec& step = job.record.spec.steps[task.step];
     const QueuePolicy* queue = this->tables.policyOf(job);
-    if (!queue || !this->tables.isWithinMaximum(job, step.demand))
+    if (!queue || !this->tables.doesMaximumPermit(job, step))
         return;
     WorkerRow* blocked = nullptr;
     for (auto& [id, drain] : this->drains) {
--- a/modules/jobs/systems/PlacementSystem.cpp
+++ b/modules/jobs/systems/PlacementSystem.cpp
@@ -187,7 +187,7 @@
     for (std::uint32_t index = 0; index < tasks.size(); ++index) {
         if (tasks[index].phase != TaskPhase::Waiting || !tasks[index].nextStart.hasPassed(this->tickAt))
             continue;
-        if (!this->tables.isWithinMaximum(job, spec.demand))
+        if (!this->tables.doesMaximumPermit(job, spec))
             return;
         TaskName name { job.record.id, occurrence, step, index };
         WorkerRow* worker = this->chooseFromPool(job, name, pool);
@@ -225,6 +225,8 @@
     JobRow& job, std::uint32_t occurrence, std::uint32_t step, const Workers& workers)
 {
     const StepSpec& spec = job.record.spec.steps[step];
+    if (!this->tables.doesMaximumPermit(job, spec))
+        return false;
     auto& row = job.occurrences[occurrence].steps[step];
     std::uint32_t run = this->tables.lowestRun;
     std::string checkpoint;
@@ -236,8 +238,7 @@
     std::size_t firstOrder = this->orders.size();
     for (std::uint32_t index = 0; index < row.tasks.size(); ++index) {
         TaskName name { job.record.id, occurrence, step, index };
-        WorkerRow* worker
-            = this->tables.isWithinMaximum(job, spec.demand) ? this->chooseWorker(job, name, workers) : nullptr;
+        WorkerRow* worker = this->chooseWorker(job, name, workers);
         if (!worker) {
             // Either all members start or none does.
             for (std::size_t order = firstOrder; order < this->orders.size(); ++order)
--- a/modules/jobs/tables/JobTables.cpp
+++ b/modules/jobs/tables/JobTables.cpp
@@ -1,5 +1,7 @@
 #include <jobs/tables/JobTables.h>
 
+#include <jobs/model/TeamMaximum.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -161,18 +163,13 @@
     return worker.openCopies.mayArrive(now) || !this->inheritedCopiesArriveUntil.hasPassed(now);
 }
 
-bool JobTables::isWithinMaximum(const JobRow& job, const ResourceAmount& demand) const
+bool JobTables::doesMaximumPermit(const JobRow& job, const StepSpec& step) const
 {
     auto team = this->policies->teams.find(job.record.team);
     if (team == this->policies->teams.end())
         return true;
-    ResourceAmount use = demand;
-    if (auto found = this->usage.find(job.record.team); found != this->usage.end())
-        use += found->second;
-    auto isWithin = [](std::int64_t used, std::int64_t maximum) { return !maximum || used <= maximum; };
-    const ResourceAmount& maximum = team->second.maximum;
-    return isWithin(use.cpuMillis, maximum.cpuMillis) && isWithin(use.memoryMegabytes, maximum.memoryMegabytes)
-        && isWithin(use.accelerators, maximum.accelerators);
+    auto use = this->usage.find(job.record.team);
+    return TeamMaximum(team->second.maximum).permits(step, use == this->usage.end() ? ResourceAmount() : use->second);
 }
 
 bool JobTables::isReady(
--- a/modules/jobs/tables/JobTables.h
+++ b/modules/jobs/tables/JobTables.h
@@ -71,8 +71,9 @@
     /// Whether the worker may still carry out a copy of a start order, of this leader or of an earlier one.
     bool mayCopyArrive(const WorkerRow&, Instant now) const;
 
-    /// Whether the job's team stays within its maximum if it uses `demand` besides.
-    bool isWithinMaximum(const JobRow&, const ResourceAmount& demand) const;
+    /// Whether the maximum of the job's team permits a task of the step to start now, or the whole gang. Attempts that
+    /// are planned, and those that are being stopped, count as running.
+    bool doesMaximumPermit(const JobRow&, const StepSpec&) const;
 
     /// Whether tasks of the step can start: the steps that it depends on are done, and the occurrence is due.
     bool isReady(const JobRow&, const OccurrenceRow&, std::uint32_t step, std::int64_t nowUnixMs) const;
