--- a/modules/coordinator/store/AnswerTimeout.h
+++ b/modules/coordinator/store/AnswerTimeout.h
@@ -2,6 +2,8 @@
 
 #include <core/time/Instant.h>
 
+#include <algorithm>
+
 namespace Greengage {
 
 /// Chooses how long to wait for the store's next answer. A lost answer has to be noticed early, while a store that has
@@ -12,10 +14,17 @@
     /// Bounds of the limit.
     static constexpr Milliseconds shortest { 150 };
     static constexpr Milliseconds longest { 1000 };
+    /// Bounds what a watch may exceed its wait by.
+    static constexpr Milliseconds longestOverrun { 1200 };
 
     /// The time limit for the next answer, counted from when the store should give it.
     Milliseconds limit() const;
 
+    /// The time limit for a watch that waits this long. It may exceed the wait by more than the usual limit, since
+    /// daemons renew their watches together, but by a bounded time, however long the store has been silent: a store
+    /// that is back is not asked again before a watch has ended that was lost in the silence.
+    Milliseconds watchLimit(Milliseconds wait) const { return wait + std::min(longestOverrun, this->limit() * 2); }
+
     /// Records a call that was answered after `duration`.
     void recordAnswer(Microseconds duration);
 
--- a/modules/coordinator/store/PrefixMirror.h
+++ b/modules/coordinator/store/PrefixMirror.h
@@ -4,6 +4,7 @@
 #include <core/errors/ErrorBoundary.h>
 #include <core/log/Log.h>
 #include <core/log/LogLine.h>
+#include <core/time/Deadline.h>
 #include <loop/timers/Timer.h>
 
 #include <algorithm>
@@ -15,6 +16,8 @@
 
 /// Follows all keys below one prefix of the shared store: reads a listing first, then watches for changes. Lists again
 /// when the store has dropped the history that the watch needs, or when a handler has ended with an unforeseen error.
+/// After a failure it asks for changes without waiting for any, until the store has answered: such a call ends soon, so
+/// a store that is back is noticed soon, in whichever way and for however long it was gone.
 template <SharedStore Store> class PrefixMirror {
 public:
     struct Handlers {
@@ -58,7 +61,7 @@
     bool isLoaded() const { return this->isListed; }
 
 private:
-    /// Pause after the first failed call; it doubles with each further failure.
+    /// Least time between the first failed call and the next one; it doubles with each further failure.
     static constexpr Milliseconds firstRetryPause { 100 };
     static constexpr Milliseconds longestRetryPause { 800 };
 
@@ -68,8 +71,9 @@
             if (*alive)
                 this->handleResult(wasListed, std::move(result));
         };
+        this->calledAt = BootClock::now();
         if (this->isListed)
-            this->store.watch(this->prefix, this->revision, this->wait, onResult);
+            this->store.watch(this->prefix, this->revision, this->failures ? Milliseconds(0) : this->wait, onResult);
         else
             this->store.list(this->prefix, onResult);
     }
@@ -81,7 +85,8 @@
             return;
         }
         if (this->failures)
-            writeLog(LogLevel::Info, LogLine("store_prefix_recovered").add("prefix", this->prefix));
+            writeLog(LogLevel::Info,
+                LogLine("store_prefix_recovered").add("prefix", this->prefix).add("failures", this->failures));
         this->failures = 0;
         this->answeredAt = BootClock::now();
         this->revision = std::max(this->revision, result.value().revision);
@@ -114,12 +119,13 @@
         if (!this->failures)
             writeLog(LogLevel::Warning,
                 LogLine("store_prefix_read_failed").add("prefix", this->prefix).add("reason", nameOf(failure)));
-        auto pause = std::min(longestRetryPause, firstRetryPause * (1 << std::min(this->failures, 3)));
+        auto next = Deadline::after(
+            this->calledAt, std::min(longestRetryPause, firstRetryPause * (1 << std::min(this->failures, 3))));
         this->failures += 1;
         auto stillAlive = this->alive;
         this->handlers.onFailure(failure);
         if (*stillAlive)
-            this->timer.schedule(pause);
+            this->timer.schedule(next.remaining(BootClock::now()));
     }
 
     Store& store;
@@ -131,6 +137,8 @@
     bool isListed = false;
     std::int64_t revision = 0;
     int failures = 0;
+    /// When the latest call was made.
+    Instant calledAt { Instant::min() };
     Instant answeredAt { Instant::min() };
 };
 
