--- a/modules/coordinator/placing/ReconnectSelector.h
+++ b/modules/coordinator/placing/ReconnectSelector.h
@@ -20,7 +20,7 @@
     };
 
     static constexpr Milliseconds period { 20 };
-    static constexpr std::size_t maxCallsPerPeriod = 8;
+    static constexpr std::size_t maxCallsPerPeriod = 4;
 
     /// Returns the workers to call now: those with known copies first, and then those called longest ago.
     std::vector<WorkerId> select(std::vector<Candidate>, Instant now);
