coordinator: a worker that is only called for its open copies leaves the roster

Repair: such a row is marked as gone. The roster leaves it out, so that no leader after this one waits for a worker that runs nothing, and a worker that the directory lists again is called without a pause. OpenCopies counts no call twice if its row was replaced meanwhile.

--- a/modules/coordinator/placing/Coordinator.h
+++ b/modules/coordinator/placing/Coordinator.h
@@ -137,6 +137,8 @@
         if (info.draining && !worker.info.draining)
             writeLog(LogLevel::Info, LogLine("worker_draining").add("worker", info.id.string()));
         worker.info = info;
+        if (worker.isGone)
+            this->session->leases.handleReturn(worker);
         worker.isListed = true;
         this->scheduleTick();
     }
--- a/modules/coordinator/placing/LeaseManager.h
+++ b/modules/coordinator/placing/LeaseManager.h
@@ -158,6 +158,9 @@
         worker.needsHigherToken = true;
     }
 
+    /// Has a worker called without a pause, because the directory lists it again.
+    void handleReturn(const WorkerRow& worker) { this->renewals[worker.info.id].next = Deadline(); }
+
     /// Asks a worker for an immediate report, besides the renewal that waits for an end.
     void probe(WorkerRow& worker, Instant now)
     {
@@ -588,7 +591,8 @@
                 tables.clearWorker(worker, LeaseManager::lossReasonOf(worker), now);
             } else if (worker.isSuspect)
                 this->releaseLost(worker, now);
-            if (isOver && !worker.isListed && !this->mustBeCalled(worker, now)) {
+            worker.isGone = isOver && !worker.isListed;
+            if (worker.isGone && !this->mustBeCalled(worker, now)) {
                 this->renewals.erase(entry->first);
                 entry = tables.workers.erase(entry);
             } else
--- a/modules/coordinator/placing/WorkerRosterManager.h
+++ b/modules/coordinator/placing/WorkerRosterManager.h
@@ -94,10 +94,15 @@
 
     bool hasChanged() const
     {
-        if (this->isWriteOpen || this->storedWorkers.size() != this->tables.workers.size())
-            return true;
-        return !std::all_of(this->tables.workers.begin(), this->tables.workers.end(),
-            [this](const auto& entry) { return this->isStored(entry.second); });
+        std::size_t wanted = 0;
+        for (const auto& [id, worker] : this->tables.workers) {
+            if (worker.isGone)
+                continue;
+            wanted += 1;
+            if (!this->isStored(worker))
+                return true;
+        }
+        return this->isWriteOpen || this->storedWorkers.size() != wanted;
     }
 
     /// Whether the stored roster certainly names the worker's current incarnation and address.
@@ -112,6 +117,8 @@
         WorkerRosterRecord record;
         std::map<WorkerId, StoredWorker> written;
         for (const auto& [id, worker] : this->tables.workers) {
+            if (worker.isGone)
+                continue;
             record.workers.push_back(worker.info);
             if (worker.hasRestarted)
                 record.restarted.insert(id);
--- a/modules/jobs/tables/OpenCopies.h
+++ b/modules/jobs/tables/OpenCopies.h
@@ -19,7 +19,8 @@
     /// A call has ended at `now`. `isClosed` tells that its copy was carried out, refused or not sent.
     void recordEnded(bool isClosed, Instant now)
     {
-        this->callsUnderWay -= 1;
+        // The row may be a new one, of a worker that was replaced at its address while the call was under way.
+        this->callsUnderWay = std::max(0, this->callsUnderWay - 1);
         if (!isClosed)
             this->arriveUntil = std::max(this->arriveUntil, Deadline::after(now, longestDelay));
     }
--- a/modules/jobs/tables/WorkerRow.h
+++ b/modules/jobs/tables/WorkerRow.h
@@ -16,6 +16,9 @@
     WorkerInfo info;
     /// Whether the directory lists the worker.
     bool isListed = true;
+    /// The worker runs nothing and is not listed: its row stays only because a copy of a start order may still reach
+    /// it.
+    bool isGone = false;
     /// Whether the worker is on the stored worker roster.
     bool isOnRoster = false;
     /// Whether the worker has answered under the current fencing token, so that all attempts on it are known.
