coordinator: a wave is completed without a VM only if the VM's own answer says that it is not up

Cause: a VM counted as gone once two listings that were requested after the wave lacked it. Listings may be old themselves, and then each of them lacks a new VM.

Repair: a VM that two listings lack gets its order like the others, last and within the wave's maximum, unless a worker that is in touch may run there. It counts as gone if the answer says that it does not exist or is not up. Accepted means that its maintenance has begun; no answer proves nothing.

FleetView::hasLeft is called isUnlisted, for that is what it tells; its tests are unchanged.

--- a/modules/coordinator/fleet/FleetController.h
+++ b/modules/coordinator/fleet/FleetController.h
@@ -89,6 +89,8 @@
     struct Progress {
         WaveRecord record;
         std::int64_t revision = 0;
+        /// VMs that the listings lacked when the answer to an order said that they are not up.
+        std::set<VmId> absent;
     };
 
     struct Arrival {
@@ -293,18 +295,23 @@
         MaintenanceWave current = wave;
         current.done = progress.record.done;
         bool isFinished = std::all_of(wave.vms.begin(), wave.vms.end(),
-            [&](const VmId& vm) { return current.done.contains(vm) || this->fleet.hasLeft(vm, wave.receivedAt); });
+            [&](const VmId& vm) { return current.done.contains(vm) || this->hasLeft(wave, vm); });
         if (isFinished) {
             writeLog(LogLevel::Info,
                 LogLine("wave_completed")
                     .add("wave", wave.number)
                     .add("machines", wave.vms.size())
-                    .add("done", current.done.size()));
+                    .add("done", current.done.size())
+                    .add("absent", progress.absent.size()));
             progress.record.isCompleted = true;
             this->system.endDrains();
             this->save(wave.number);
             return;
         }
+        for (const auto& vm : wave.vms) {
+            if (this->fleet.isUnlisted(vm, wave.receivedAt) && !this->mayRunTasks(vm))
+                current.unlisted.insert(vm);
+        }
         this->isDraining = true;
         auto ready = this->system.advance(current, this->fleet.vms(), this->possiblyDown, now);
         for (const auto& worker : this->system.drainsGivenUp())
@@ -318,6 +325,21 @@
         }
     }
 
+    /// Whether the VM has left the fleet: two listings lack it, and it is not up by the answer to an order. Listings
+    /// alone do not show it, since they may show an old fleet, which a new VM is not part of.
+    bool hasLeft(const MaintenanceWave& wave, const VmId& vm) const
+    {
+        return this->progress.at(wave.number).absent.contains(vm) && this->fleet.isUnlisted(vm, wave.receivedAt);
+    }
+
+    /// Whether a worker that is in touch may run tasks on this VM, which the listings lack.
+    bool mayRunTasks(const VmId& vm) const
+    {
+        return std::any_of(this->tables.workers.begin(), this->tables.workers.end(), [&](const auto& entry) {
+            return !entry.second.isSuspect && this->fleet.mayRunOnUnlisted(entry.first, vm);
+        });
+    }
+
     void orderMaintenance(std::int64_t wave, const VmId& vm)
     {
         this->pendingOrders.insert(vm);
@@ -362,9 +384,15 @@
         this->retryFrom[vm] = Deadline::after(now, retryPause);
         if (outcome == VmOrderOutcome::Fenced)
             this->leadership.stepDown("a machine has seen a higher fencing token");
-        if (outcome != VmOrderOutcome::Accepted || !this->progress.contains(wave))
+        auto progress = this->progress.find(wave);
+        if (progress == this->progress.end())
+            return;
+        bool isNotUp = outcome == VmOrderOutcome::NoSuchVm || outcome == VmOrderOutcome::Busy;
+        if (isNotUp && !this->fleet.vms().contains(vm))
+            progress->second.absent.insert(vm);
+        if (outcome != VmOrderOutcome::Accepted)
             return;
-        this->progress.at(wave).record.done.insert(vm);
+        progress->second.record.done.insert(vm);
         if (!this->isStoring && this->leadership.isLeader())
             this->save(wave);
     }
--- a/modules/coordinator/fleet/FleetView.cpp
+++ b/modules/coordinator/fleet/FleetView.cpp
@@ -24,12 +24,20 @@
     }
 }
 
-bool FleetView::hasLeft(const VmId& vm, Instant since) const
+bool FleetView::isUnlisted(const VmId& vm, Instant since) const
 {
     return this->previous && this->previous->requestedAt > since && this->previous->lacks(vm)
         && this->latest->lacks(vm);
 }
 
+bool FleetView::mayRunOnUnlisted(const WorkerId& worker, const VmId& vm) const
+{
+    if (this->latest->workers.contains(worker))
+        return false;
+    auto found = this->homes.find(worker);
+    return found == this->homes.end() || found->second.vm.isEmpty() || found->second.vm == vm;
+}
+
 bool FleetView::hasWorkerEnded(const WorkerId& worker, Instant since) const
 {
     auto found = this->homes.find(worker);
--- a/modules/coordinator/fleet/FleetView.h
+++ b/modules/coordinator/fleet/FleetView.h
@@ -27,10 +27,13 @@
     /// The VMs of the latest listing. There has to be one.
     const std::map<VmId, VmInfo>& vms() const { return this->latest->vms; }
 
-    /// Whether the VM, of which an order was received at `since`, has left the fleet: two listings in a row that were
-    /// requested later lack it. One alone may miss a VM, since its pages are read at different times. A row that does
-    /// not show its VM may be that of any.
-    bool hasLeft(const VmId&, Instant since) const;
+    /// Whether two listings in a row that were requested after `since` lack the VM. One alone may miss a VM, since its
+    /// pages are read at different times. A row that does not show its VM may be that of any.
+    bool isUnlisted(const VmId&, Instant since) const;
+
+    /// Whether the worker may run on this VM, which the latest listing lacks: neither that listing nor an earlier one
+    /// shows it on another VM.
+    bool mayRunOnUnlisted(const WorkerId&, const VmId&) const;
 
     /// Whether the worker has ended with its VM: two listings in a row that were requested after `since` show no VM on
     /// which it runs. A worker that is only cut off stays listed. A listing without VMs tells nothing, and neither does
--- a/modules/coordinator/fleet/VmService.h
+++ b/modules/coordinator/fleet/VmService.h
@@ -19,8 +19,10 @@
     Busy,
     /// The VM has had orders under a higher fencing token.
     Fenced,
-    /// The VM does not belong to the wave, or does not exist.
+    /// The VM does not belong to the wave, or the pool cannot take it.
     Refused,
+    /// There is no such VM. Only orders for maintenance tell.
+    NoSuchVm,
     /// Too many calls, or the service is unavailable; nothing was done.
     Unavailable,
     /// The order may have been carried out.
@@ -28,11 +30,12 @@
 };
 
 template <> struct EnumNames<VmOrderOutcome> {
-    static constexpr std::array<std::pair<VmOrderOutcome, std::string_view>, 6> table { {
+    static constexpr std::array<std::pair<VmOrderOutcome, std::string_view>, 7> table { {
         { VmOrderOutcome::Accepted, "accepted" },
         { VmOrderOutcome::Busy, "busy" },
         { VmOrderOutcome::Fenced, "fenced" },
         { VmOrderOutcome::Refused, "refused" },
+        { VmOrderOutcome::NoSuchVm, "no_such_vm" },
         { VmOrderOutcome::Unavailable, "unavailable" },
         { VmOrderOutcome::NoAnswer, "no_answer" },
     } };
--- a/modules/coordinator/tests/FakeFleet.h
+++ b/modules/coordinator/tests/FakeFleet.h
@@ -5,6 +5,7 @@
 #include <core/time/Deadline.h>
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -19,6 +20,7 @@
         VmId vm;
         std::int64_t token = 0;
         Instant at;
+        VmOrderOutcome outcome = VmOrderOutcome::Accepted;
     };
 
     std::map<VmId, VmInfo> vms;
@@ -36,12 +38,16 @@
 
     /// What the next orders are answered with.
     VmOrderOutcome outcome = VmOrderOutcome::Accepted;
+    /// What orders for maintenance are answered with if there is no such VM.
+    VmOrderOutcome absentOutcome = VmOrderOutcome::NoSuchVm;
     /// Whether accepted moves are carried out.
     bool isObedient = true;
     /// The next listing lacks these VMs, as when they are missed between two pages.
     std::set<VmId> missedOnce;
     /// Listings fail.
     bool isListFailing = false;
+    /// What listings show in place of the fleet as it is now.
+    std::optional<std::map<VmId, VmInfo>> oldFleet;
 
     void list(VmListCallback callback)
     {
@@ -51,7 +57,7 @@
             return;
         }
         std::vector<VmInfo> listed;
-        for (const auto& [id, info] : this->fleet.vms) {
+        for (const auto& [id, info] : this->oldFleet.value_or(this->fleet.vms)) {
             if (!this->missedOnce.erase(id))
                 listed.push_back(info);
         }
@@ -60,22 +66,22 @@
 
     void beginMaintenance(const VmId& vm, std::int64_t, std::int64_t token, VmOrderCallback callback)
     {
-        this->obey(vm, token, std::move(callback));
+        bool isKnown = this->fleet.vms.contains(vm);
+        this->obey(vm, token, isKnown ? this->outcome : this->absentOutcome, std::move(callback));
     }
 
     void move(const VmId& vm, const PoolId& pool, std::int64_t token, VmOrderCallback callback)
     {
         if (this->outcome == VmOrderOutcome::Accepted && this->isObedient)
             this->fleet.vms.at(vm).pool = pool;
-        this->obey(vm, token, std::move(callback));
+        this->obey(vm, token, this->outcome, std::move(callback));
     }
 
 private:
-    void obey(const VmId& vm, std::int64_t token, VmOrderCallback callback)
+    void obey(const VmId& vm, std::int64_t token, VmOrderOutcome outcome, VmOrderCallback callback)
     {
-        this->fleet.orders.push_back({ vm, token, BootClock::now() });
-        after(this->base, Milliseconds(1),
-            [callback = std::move(callback), outcome = this->outcome] { callback(outcome); });
+        this->fleet.orders.push_back({ vm, token, BootClock::now(), outcome });
+        after(this->base, Milliseconds(1), [callback = std::move(callback), outcome] { callback(outcome); });
     }
 
     event_base& base;
--- a/modules/coordinator/tests/FleetTests.cpp
+++ b/modules/coordinator/tests/FleetTests.cpp
@@ -126,7 +126,7 @@
     fleet.apply(nameless, Instant(Seconds(1)));
     BOOST_TEST(fleet.vms().size() == 1U);
     fleet.apply(nameless, Instant(Seconds(2)));
-    BOOST_TEST(!fleet.hasLeft(VmId("m1"), Instant(Seconds(0))));
+    BOOST_TEST(!fleet.isUnlisted(VmId("m1"), Instant(Seconds(0))));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/modules/coordinator/tests/WaveTests.cpp
+++ b/modules/coordinator/tests/WaveTests.cpp
@@ -32,7 +32,17 @@
     bool hasBegun(const char* vm) const
     {
         return std::any_of(this->fleet.orders.begin(), this->fleet.orders.end(),
-            [vm](const auto& order) { return order.vm == VmId(vm); });
+            [vm](const auto& order) { return order.vm == VmId(vm) && order.outcome == VmOrderOutcome::Accepted; });
+    }
+
+    /// Checks that a wave for a VM that has left is completed without its maintenance.
+    void checkVmIsLeftOut(const char* vm)
+    {
+        this->fleet.vms.erase(VmId(vm));
+        this->runFor(Milliseconds(700));
+        this->orderWave({ VmId(vm) });
+        BOOST_TEST(this->runUntil([this] { return this->isCompleted(); }, Milliseconds(2000)));
+        BOOST_TEST(!this->hasBegun(vm));
     }
 
     /// Checks that the wave is completed, and not before the maintenance of its VM has begun.
@@ -81,6 +91,60 @@
     this->checkVmIsMaintained("m2");
 }
 
+/// Guards against a wave that is completed without its VM, which each listing lacks since all show an old fleet.
+BOOST_AUTO_TEST_CASE(aVmThatAllListingsLackIsMaintained)
+{
+    this->first->link.oldFleet = this->fleet.vms;
+    this->addVm("new", "north");
+    this->orderWave({ VmId("new") });
+    this->checkVmIsMaintained("new");
+}
+
+/// Guards against the same beside other VMs of the wave.
+BOOST_AUTO_TEST_CASE(aVmThatAllListingsLackIsMaintainedBesideOthers)
+{
+    this->first->link.oldFleet = this->fleet.vms;
+    this->addVm("new", "north");
+    this->orderWave({ VmId("new"), VmId("m1"), VmId("m2") });
+    BOOST_TEST(this->runUntil([this] { return this->hasBegun("m1"); }, Milliseconds(3000)));
+    // Two VMs of a wave are never down at once, whether they are listed or not.
+    BOOST_TEST(!this->hasBegun("m2"));
+    BOOST_TEST(!this->hasBegun("new"));
+    BOOST_TEST(this->runUntil([this] { return this->isCompleted(); }, Milliseconds(12'000)));
+    BOOST_TEST(this->hasBegun("m2"));
+    BOOST_TEST(this->hasBegun("new"));
+}
+
+/// Guards against a VM that is taken down while its worker runs tasks, since no listing shows that they belong
+/// together.
+BOOST_AUTO_TEST_CASE(aVmWhoseWorkerIsInTouchIsNotTakenDownUnlisted)
+{
+    this->first->link.oldFleet = this->fleet.vms;
+    this->addVm("new", "north", "w-new");
+    WorkerRow& row = this->first->jobs.workers[WorkerId("w-new")];
+    row.info.id = WorkerId("w-new");
+    row.info.pool = PoolId("north");
+    this->orderWave({ VmId("new") });
+    this->runFor(Milliseconds(2000));
+    BOOST_TEST(!this->hasBegun("new"));
+    BOOST_TEST(!this->isCompleted());
+    this->first->link.oldFleet.reset();
+    this->checkVmIsMaintained("new");
+}
+
+/// Guards against a wave that is completed while it is not known whether its VM has left: the answer was lost.
+BOOST_AUTO_TEST_CASE(anUnansweredOrderDoesNotShowThatAVmHasLeft)
+{
+    this->first->link.oldFleet = this->fleet.vms;
+    this->first->link.outcome = VmOrderOutcome::NoAnswer;
+    this->addVm("new", "north");
+    this->orderWave({ VmId("new") });
+    this->runFor(Milliseconds(2500));
+    BOOST_TEST(!this->isCompleted());
+    this->first->link.outcome = VmOrderOutcome::Accepted;
+    this->checkVmIsMaintained("new");
+}
+
 /// Guards against more VMs down than the wave allows: an old listing shows as up a VM whose maintenance goes on.
 BOOST_AUTO_TEST_CASE(aVmInMaintenanceCountsAsDownUntilANewListing)
 {
@@ -95,13 +159,14 @@
     this->checkVmIsMaintained("m2");
 }
 
-BOOST_AUTO_TEST_CASE(aWaveIsCompletedWithoutAVmThatHasLeft)
+BOOST_AUTO_TEST_CASE(aWaveIsCompletedWithoutAVmThatHasLeft) { this->checkVmIsLeftOut("m2"); }
+
+/// Guards against a wave that never ends: an order to a VM that has left may be answered like one to a VM that is
+/// leaving.
+BOOST_AUTO_TEST_CASE(aWaveIsCompletedWithoutAVmThatHasLeftAndIsAnsweredAsBusy)
 {
-    this->fleet.vms.erase(VmId("m2"));
-    this->runFor(Milliseconds(700));
-    this->orderWave({ VmId("m2") });
-    BOOST_TEST(this->runUntil([this] { return this->isCompleted(); }, Milliseconds(2000)));
-    BOOST_TEST(!this->hasBegun("m2"));
+    this->first->link.absentOutcome = VmOrderOutcome::Busy;
+    this->checkVmIsLeftOut("m2");
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/modules/jobs/model/MaintenanceWave.h
+++ b/modules/jobs/model/MaintenanceWave.h
@@ -22,6 +22,8 @@
     Deadline dueBy;
     /// VMs whose maintenance has begun or is complete.
     std::set<VmId> done;
+    /// VMs that the listings lack, of which only an order can show whether they have left the fleet.
+    std::set<VmId> unlisted;
 };
 
 } // namespace Greengage
--- a/modules/jobs/systems/MaintenanceSystem.cpp
+++ b/modules/jobs/systems/MaintenanceSystem.cpp
@@ -24,6 +24,7 @@
     std::unordered_map<PoolId, std::size_t> poolSize;
     std::unordered_map<PoolId, std::size_t> unavailableInPool;
     std::vector<Candidate> candidates;
+    std::vector<VmId> unlisted;
     for (const auto& [id, info] : vms) {
         bool isUnavailable = info.state != VmPhase::Up || mayBeDown.contains(id);
         poolSize[info.pool] += 1;
@@ -31,13 +32,14 @@
     }
     for (const auto& id : wave.vms) {
         auto info = vms.find(id);
-        if (info == vms.end())
-            continue;
-        if (info->second.state == VmPhase::InMaintenance || mayBeDown.contains(id)) {
+        bool isListed = info != vms.end();
+        if (mayBeDown.contains(id) || (isListed && info->second.state == VmPhase::InMaintenance)) {
             down += 1;
             continue;
         }
-        if (info->second.state != VmPhase::Up)
+        if (!isListed && wave.unlisted.contains(id) && !wave.done.contains(id))
+            unlisted.push_back(id);
+        if (!isListed || info->second.state != VmPhase::Up)
             continue;
         WorkerRow* worker = this->tables.findWorker(info->second.worker);
         if (wave.done.contains(id)) {
@@ -76,6 +78,10 @@
         }
         ready.push_back(candidate.vm);
     }
+    for (auto vm = unlisted.begin(); vm != unlisted.end() && unavailable < wave.maximum; ++vm) {
+        unavailable += 1;
+        ready.push_back(*vm);
+    }
     this->limitDrains(now);
     return ready;
 }
--- a/modules/jobs/systems/MaintenanceSystem.h
+++ b/modules/jobs/systems/MaintenanceSystem.h
@@ -43,8 +43,9 @@
     }
 
     /// Chooses VMs to drain, marks attempts on them to be stopped, and returns the VMs that can be taken down now.
-    /// `vms` is the fleet as listed last; `mayBeDown` holds the VMs that were ordered down since. The drain of a VM
-    /// that is back after its maintenance ends, also if its worker has started again under the same id.
+    /// Unlisted VMs come last and have nothing to drain. `vms` is the fleet as listed last; `mayBeDown` holds the VMs
+    /// that were ordered down since. The drain of a VM that is back after its maintenance ends, also if its worker has
+    /// started again under the same id.
     std::vector<VmId> advance(const MaintenanceWave&, const std::map<VmId, VmInfo>& vms,
         const std::map<VmId, Deadline>& mayBeDown, Instant now);
 
