coordinator: when leases end is worked out in LeaseBounds; the plays of take-overs share one loop

What bounds the leases of workers, and which attempts are over by that, needs no link to workers and no template; it is LeaseBounds now. TakeoverTests plays its kinds by one loop, and OpenCopyTests and EndedWorkerTests list their VMs by FakeDaemon::listVms. Shorter comments in AnswerTimeout and PrefixMirror.

HeldUpCopies/aWorkerThatIsListedAgainIsCalledAtOnce covers LeaseManager::handleReturn, which had no test of its own.

--- a/modules/coordinator/placing/Coordinator.h
+++ b/modules/coordinator/placing/Coordinator.h
@@ -285,9 +285,9 @@
         tables.openOrders = term.openOrders;
         tables.lowestRun = 1 + term.epoch * runsPerEpoch;
         auto inheritedExpire = [&term](Milliseconds span) { return Deadline(term.earlierOrdersExpire.at() + span); };
-        tables.inheritedLeasesExpire = inheritedExpire(LeaseManager<Link>::longestLease(this->limits.leaseDuration));
+        tables.inheritedLeasesExpire = inheritedExpire(LeaseBounds::longestLease(this->limits.leaseDuration));
         tables.inheritedLongestLeasesExpire
-            = inheritedExpire(LeaseManager<Link>::longestLeaseOfUnknown(this->limits.longestGrantedLease));
+            = inheritedExpire(LeaseBounds::longestLeaseOfUnknown(this->limits.longestGrantedLease));
         tables.inheritedCopiesArriveUntil = inheritedExpire(OpenCopies::longestDelay);
         this->session->jobsMirror.start();
         if (this->onWorkerWatchNeededChange)
--- a/modules/coordinator/placing/LeaseManager.h
+++ b/modules/coordinator/placing/LeaseManager.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <coordinator/leadership/OpenOrdersCodec.h>
+#include <coordinator/placing/LeaseBounds.h>
 #include <coordinator/placing/ReconnectSelector.h>
 #include <coordinator/workers/WorkerLink.h>
 #include <core/errors/WorkScope.h>
@@ -24,11 +25,6 @@
 /// Renews the workers' leases, applies their reports, and releases the attempts of workers whose leases have expired.
 template <WorkerLink Link> class LeaseManager {
 public:
-    /// A worker's clock may be this much slower than ours, in percent, rounded up.
-    static constexpr int workerClockSlackPercent = 3;
-    /// Covers the time that an order takes on the network.
-    static constexpr Milliseconds leaseMargin { 200 };
-
     struct Handlers {
         /// The highest fencing token that this leader may use now.
         std::function<std::int64_t()> latestToken;
@@ -48,7 +44,7 @@
         , tables(tables)
         , reports(tables)
         , leaseDuration(leaseDuration)
-        , longestGrantedLease(longestGrantedLease)
+        , bounds(tables, leaseDuration, longestGrantedLease)
         , handlers(std::move(handlers))
         , alive(std::make_shared<bool>(true))
     {
@@ -69,19 +65,6 @@
         this->clearExpiredWorkers(now);
     }
 
-    /// The longest time that a lease of the given length can last on our clock.
-    static Milliseconds longestLease(Milliseconds span)
-    {
-        return span + span * workerClockSlackPercent / 100 + leaseMargin;
-    }
-
-    /// The same for an incarnation of which no report has told, counted from when the order was sent: on its clock, the
-    /// lease begins when the order arrives.
-    static Milliseconds longestLeaseOfUnknown(Milliseconds longestGrantedLease)
-    {
-        return longestCall + LeaseManager::longestLease(longestGrantedLease);
-    }
-
     /// Applies that the worker has started again under its id, as of `incarnationUnixMs`.
     void handleRestart(WorkerRow& worker, std::int64_t incarnationUnixMs, Instant now)
     {
@@ -101,7 +84,7 @@
         worker.needsHigherToken = true;
         // An order or a renewal that was meant for the former incarnation carries a time on its clock, which is far
         // ahead on the clock of the new one. So the new one may hold the longest lease, for later attempts as well.
-        worker.longestLeaseExpires = this->longestLeaseExpiry(now);
+        worker.longestLeaseExpires = this->bounds.longestExpiry(now);
         worker.leaseExpires = worker.longestLeaseExpires;
         // The answer to a renewal under way would tell of the former incarnation.
         Renewal& renewal = this->renewals[worker.info.id];
@@ -143,12 +126,7 @@
     }
 
     /// Records that a lease of this length was granted at `now`.
-    void extendLease(WorkerRow& worker, Instant now, Milliseconds length)
-    {
-        auto expiry = Deadline::after(now, LeaseManager::longestLease(length));
-        worker.leaseExpires = std::max(worker.leaseExpires, expiry);
-        worker.longestLeaseExpires = std::max(worker.longestLeaseExpires, this->longestLeaseExpiry(now));
-    }
+    void extendLease(WorkerRow& worker, Instant now, Milliseconds length) { this->bounds.extend(worker, now, length); }
 
     /// Applies that a call to the worker got no answer. It may have started again, so the next call carries a higher
     /// token, from which on the worker refuses whatever was sent before and is held up.
@@ -205,7 +183,7 @@
         for (const auto& [id, worker] : this->tables.workers) {
             // Also without attempts: that it gave them up may not be stored yet.
             if (LeaseManager::isUnresponsive(worker))
-                orders.leases[id] = this->leaseOf(worker);
+                orders.leases[id] = this->bounds.expiryOf(worker);
         }
         return orders;
     }
@@ -224,11 +202,6 @@
     static constexpr Milliseconds incompleteRetry { 25 };
     /// Delay before a report is requested again that lists ends which cannot be acknowledged yet.
     static constexpr Milliseconds unacknowledgedPause { 25 };
-    /// A call to a worker is given up after less than this time, and reaches it until then.
-    static constexpr Milliseconds longestCall { 500 };
-    /// A start order that may be under way to a worker that has ended is waited for this long, so that its task runs
-    /// again within 9 s. It may arrive up to 12 s after it was sent.
-    static constexpr Milliseconds longestWaitForOrder { 6000 };
     static constexpr Milliseconds unreadableLinePeriod { 10'000 };
 
     struct Renewal {
@@ -278,7 +251,7 @@
         // The lease of an unresponsive worker is not extended, so that its attempts are released in bounded time.
         if (worker.isReached && !worker.isSuspect) {
             order.leaseUntilClockMs = this->clockOf(worker, now) + this->leaseDuration.count();
-            this->extendLease(worker, now, this->leaseDuration);
+            this->bounds.extend(worker, now, this->leaseDuration);
             if (!LeaseManager::hasAttemptsInDoubt(worker))
                 order.wait = std::min(longestRenewalWait, this->leaseDuration / renewalsPerLease);
         }
@@ -306,7 +279,7 @@
     /// may have ends that nobody has read.
     bool mayHaveUnreadEnds(const WorkerRow& worker, Instant now) const
     {
-        Instant latest = now - LeaseManager::longestLease(this->leaseDuration);
+        Instant latest = now - this->bounds.longestAskedLease();
         auto mayStartAgain = [latest](const auto& entry) {
             const Attempt& attempt = entry.second;
             bool mayBeUnderWay = !attempt.isListed || (attempt.startOrdersSent > 1 && attempt.orderedAt > latest);
@@ -392,7 +365,7 @@
     void applyReport(WorkerRow& worker, const WorkerReport& report, Instant sentAt, Instant now)
     {
         if (!worker.isReached)
-            this->boundInheritedLease(worker, now);
+            this->bounds.boundInherited(worker, now);
         this->logUnreadableRows(worker, report.unreadable, now);
         this->logEvents(this->reports.apply(worker, report, sentAt, now));
     }
@@ -449,100 +422,12 @@
         worker.longestLeaseExpires = Deadline();
     }
 
-    /// When the longest lease has expired that an order sent at `now` can give to an incarnation.
-    Deadline longestLeaseExpiry(Instant now) const
-    {
-        return Deadline::after(now, LeaseManager::longestLeaseOfUnknown(this->longestGrantedLease));
-    }
-
-    /// Whether the worker may have started again under earlier leaders, so that it may hold the longest lease.
-    bool mayHaveRestarted(const WorkerRow& worker) const
-    {
-        return worker.hasRestarted || this->tables.isRosterUnreadable;
-    }
-
-    /// When the leases expire that earlier leaders may have granted the worker.
-    LeaseExpiry inheritedLeaseOf(const WorkerRow& worker) const
-    {
-        LeaseExpiry lease { this->tables.inheritedLeasesExpire, this->tables.inheritedLongestLeasesExpire };
-        const auto& told = this->tables.openOrders.leases;
-        if (auto found = told.find(worker.info.id); found != told.end())
-            lease = { std::min(lease.known, found->second.known), std::min(lease.longest, found->second.longest) };
-        // The incarnation that runs may be another one than the earlier leaders knew.
-        if (this->mayHaveRestarted(worker))
-            lease.known = lease.longest;
-        return lease;
-    }
-
-    /// Applies that the worker answers this leader, and so refuses the orders of earlier ones: the leases that these
-    /// granted last on, but get no longer.
-    void boundInheritedLease(WorkerRow& worker, Instant now)
-    {
-        LeaseExpiry inherited = this->inheritedLeaseOf(worker);
-        auto longest = std::min(inherited.longest, this->longestLeaseExpiry(now));
-        auto asked = Deadline::after(now, LeaseManager::longestLease(this->leaseDuration));
-        auto known = this->mayHaveRestarted(worker) ? longest : std::min(inherited.known, asked);
-        worker.leaseExpires = std::max(worker.leaseExpires, known);
-        worker.longestLeaseExpires = std::max(worker.longestLeaseExpires, longest);
-    }
-
-    /// When the leases of the worker expire that this leader and those before may have granted.
-    LeaseExpiry leaseOf(const WorkerRow& worker) const
-    {
-        LeaseExpiry lease { worker.leaseExpires, worker.longestLeaseExpires };
-        if (worker.isReached)
-            return lease;
-        LeaseExpiry inherited = this->inheritedLeaseOf(worker);
-        return { std::max(lease.known, inherited.known), std::max(lease.longest, inherited.longest) };
-    }
-
-    /// Whether no incarnation of the worker holds a lease any more, including one of which no report has told.
-    bool hasLongestLeaseExpired(const WorkerRow& worker, Instant now) const
-    {
-        return this->leaseOf(worker).longest.hasPassed(now);
-    }
-
-    /// Whether the lease of the worker's known incarnation has certainly expired.
-    bool hasLeaseExpired(const WorkerRow& worker, Instant now) const
-    {
-        return this->leaseOf(worker).known.hasPassed(now);
-    }
-
-    /// Whether a copy of the attempt's start order is taken for being under way, so that an incarnation of the worker
-    /// which has not answered yet may carry it out. An order of which the earlier leader has not told counts as
-    /// sent at the change of leader, and is waited for less long.
-    bool mayStartLate(const Attempt& attempt, Instant now) const
-    {
-        if (attempt.endsWithVm())
-            return false;
-        bool isWaitShort = attempt.isLongRunning || !attempt.isSendTimeKnown();
-        Milliseconds wait = isWaitShort ? LeaseManager::longestLease(this->leaseDuration) : longestWaitForOrder;
-        return now - attempt.orderedAt < wait;
-    }
-
-    /// Whether the attempt of an unresponsive worker does not run any more and cannot start either.
-    bool isLost(const WorkerRow& worker, const Attempt& attempt, Instant now) const
-    {
-        if (worker.hasEnded)
-            return !this->mayStartLate(attempt, now);
-        return this->hasLongestLeaseExpired(worker, now)
-            || (this->hasLeaseExpired(worker, now) && attempt.endsWithKnownLease());
-    }
-
-    /// Whether no attempt of an unresponsive worker runs any more or can start.
-    bool areAllLost(const WorkerRow& worker, Instant now) const
-    {
-        return (worker.hasEnded || this->hasLongestLeaseExpired(worker, now))
-            && std::all_of(worker.attempts.begin(), worker.attempts.end(),
-                [&](const auto& entry) { return this->isLost(worker, entry.second, now); });
-    }
-
     static bool isUnresponsive(const WorkerRow& worker) { return worker.isSuspect || !worker.isReached; }
 
     /// Describes the start orders of long-running tasks, or of all others, as far as there is space for them.
     void describeStarts(OpenOrders& orders, Instant now, bool isLongRunning) const
     {
-        Instant latest = now - LeaseManager::longestLease(this->leaseDuration);
+        Instant latest = now - this->bounds.longestAskedLease();
         for (const auto& [id, worker] : this->tables.workers) {
             for (const auto& [task, attempt] : worker.attempts) {
                 // That the start of another task was carried out is not stored.
@@ -567,7 +452,7 @@
     void releaseLost(WorkerRow& worker, Instant now)
     {
         std::size_t lost = this->tables.releaseAttemptsIf(worker, LeaseManager::lossReasonOf(worker), now,
-            [&](const Attempt& attempt) { return this->isLost(worker, attempt, now); });
+            [&](const Attempt& attempt) { return this->bounds.isLost(worker, attempt, now); });
         if (lost)
             writeLog(LogLevel::Warning,
                 LogLine(worker.hasEnded ? "worker_ended" : "worker_lease_expired")
@@ -582,7 +467,7 @@
         JobTables& tables = this->tables;
         for (auto entry = tables.workers.begin(); entry != tables.workers.end();) {
             WorkerRow& worker = entry->second;
-            bool isOver = worker.isSuspect && this->areAllLost(worker, now);
+            bool isOver = worker.isSuspect && this->bounds.areAllLost(worker, now);
             if (isOver && LeaseManager::hasAttempts(worker)) {
                 writeLog(LogLevel::Warning,
                     LogLine(worker.hasEnded ? "worker_ended" : "worker_longest_lease_expired")
@@ -625,7 +510,7 @@
     JobTables& tables;
     ReportSystem reports;
     Milliseconds leaseDuration;
-    Milliseconds longestGrantedLease;
+    LeaseBounds bounds;
     Handlers handlers;
     std::unordered_map<WorkerId, Renewal> renewals;
     ReconnectSelector reconnects;
--- a/modules/coordinator/placing/OrderSender.h
+++ b/modules/coordinator/placing/OrderSender.h
@@ -154,7 +154,7 @@
         attempt.orderedAt = now;
         attempt.confirmedAt = now;
         constexpr auto validFor = PlacementSystem::orderValidFor;
-        attempt.orderExpires = Deadline::after(now, LeaseManager<Link>::longestLease(validFor));
+        attempt.orderExpires = Deadline::after(now, LeaseBounds::longestLease(validFor));
         attempt.orderValidUntilClockMs = this->leases.clockOf(worker, now) + validFor.count();
         writeLog(LogLevel::Info,
             LogLine("task_start")
--- a/modules/coordinator/store/AnswerTimeout.h
+++ b/modules/coordinator/store/AnswerTimeout.h
@@ -20,9 +20,8 @@
     /// The time limit for the next answer, counted from when the store should give it.
     Milliseconds limit() const;
 
-    /// The time limit for a watch that waits this long. It may exceed the wait by more than the usual limit, since
-    /// daemons renew their watches together, but by a bounded time, however long the store has been silent: a store
-    /// that is back is not asked again before a watch has ended that was lost in the silence.
+    /// The time limit for a watch that waits this long. Daemons renew their watches together, so an answer may take
+    /// longer than usual. The overrun is bounded, since a store that is back is asked again only after it.
     Milliseconds watchLimit(Milliseconds wait) const { return wait + std::min(longestOverrun, this->limit() * 2); }
 
     /// Records a call that was answered after `duration`.
--- a/modules/coordinator/store/PrefixMirror.h
+++ b/modules/coordinator/store/PrefixMirror.h
@@ -16,8 +16,8 @@
 
 /// Follows all keys below one prefix of the shared store: reads a listing first, then watches for changes. Lists again
 /// when the store has dropped the history that the watch needs, or when a handler has ended with an unforeseen error.
-/// After a failure it asks for changes without waiting for any, until the store has answered: such a call ends soon, so
-/// a store that is back is noticed soon, in whichever way and for however long it was gone.
+/// After a failure it does not wait for changes until the store has answered, so that a store that is back is noticed
+/// soon.
 template <SharedStore Store> class PrefixMirror {
 public:
     struct Handlers {
--- a/modules/coordinator/tests/CoordinatorFixture.h
+++ b/modules/coordinator/tests/CoordinatorFixture.h
@@ -62,6 +62,21 @@
         return workers;
     }
 
+    /// Has each worker of the directory shown on a VM of its own that is up.
+    void listVms()
+    {
+        this->vmService.vms.clear();
+        for (const auto& info : FakeDaemon::directory()) {
+            VmInfo vm;
+            vm.id = VmId("m-" + info.id.string());
+            vm.pool = info.pool;
+            vm.state = VmPhase::Up;
+            vm.capacity = info.capacity;
+            vm.worker = info.id;
+            this->vmService.vms.push_back(vm);
+        }
+    }
+
     MemoryStore store;
     FakeLink link;
     FakeVms vmService;
--- a/modules/coordinator/tests/EndedWorkerTests.cpp
+++ b/modules/coordinator/tests/EndedWorkerTests.cpp
@@ -20,7 +20,7 @@
     {
         this->workers.taskLength = Milliseconds(60'000);
         this->workers.longestLease = FakeDaemon::longestGrantedLease;
-        this->listVms(*this->first);
+        this->first->listVms();
         this->first->coordinator.start();
         this->runUntil([this] { return this->first->coordinator.isLeader(); });
         JobRecord record = this->job("j", 2);
@@ -32,20 +32,6 @@
         this->lost = this->busiestWorker();
     }
 
-    static void listVms(FakeDaemon& daemon)
-    {
-        daemon.vmService.vms.clear();
-        for (const auto& info : FakeDaemon::directory()) {
-            VmInfo vm;
-            vm.id = VmId("m-" + info.id.string());
-            vm.pool = info.pool;
-            vm.state = VmPhase::Up;
-            vm.capacity = info.capacity;
-            vm.worker = info.id;
-            daemon.vmService.vms.push_back(vm);
-        }
-    }
-
     VmInfo& vmOfLost(FakeDaemon& daemon)
     {
         auto isOfLost = [this](const VmInfo& vm) { return vm.worker == this->lost; };
@@ -79,7 +65,7 @@
         for (const auto& info : FakeDaemon::directory())
             this->first->link.unreachable.insert(info.id);
         this->second = this->makeDaemon("second", "2");
-        EndedWorkerFixture::listVms(*this->second);
+        this->second->listVms();
         this->endWorker(*this->second);
         this->second->coordinator.start();
     }
@@ -88,7 +74,7 @@
     void startWorkerAgain(FakeDaemon& daemon)
     {
         this->workers.restart(this->lost);
-        EndedWorkerFixture::listVms(daemon);
+        daemon.listVms();
     }
 
     /// Submits a job of one long-running task.
@@ -155,7 +141,7 @@
             this->runFor(Milliseconds(600));
             std::string name = "next" + std::to_string(this->successors.size());
             auto& successor = *this->successors.emplace_back(this->makeDaemon(name.c_str(), name.c_str()));
-            EndedWorkerFixture::listVms(successor);
+            successor.listVms();
             prepare(successor);
             successor.coordinator.start();
             this->runUntil(condition, Milliseconds(2400));
@@ -262,7 +248,7 @@
     this->submit(*this->first, ending);
     BOOST_REQUIRE(this->runUntil([this] { return this->workers.starts == 4U; }));
     this->second = this->makeDaemon("second", "2");
-    EndedWorkerFixture::listVms(*this->second);
+    this->second->listVms();
     this->second->coordinator.start();
     this->runFor(Milliseconds(1500));
     this->first->link.lateStarts = 1;
@@ -398,7 +384,7 @@
 {
     Instant arrival = this->endWorkerWithAHeldUpCopy(Milliseconds(4700));
     this->second = this->makeDaemon("second", "2");
-    EndedWorkerFixture::listVms(*this->second);
+    this->second->listVms();
     this->showEnd(*this->second);
     this->second->coordinator.start();
     this->runFor(Milliseconds(500));
--- a/modules/coordinator/tests/OpenCopyTests.cpp
+++ b/modules/coordinator/tests/OpenCopyTests.cpp
@@ -14,7 +14,7 @@
 
     OpenCopyFixture()
     {
-        OpenCopyFixture::listVms(*this->first);
+        this->first->listVms();
         this->first->coordinator.start();
         this->runUntil([this] { return this->first->coordinator.isLeader(); });
         this->submit(*this->first, this->job("warm", 1));
@@ -24,19 +24,6 @@
         this->first->link.repetitionsArrive = true;
     }
 
-    static void listVms(FakeDaemon& daemon)
-    {
-        for (const auto& info : FakeDaemon::directory()) {
-            VmInfo vm;
-            vm.id = VmId("m-" + info.id.string());
-            vm.pool = info.pool;
-            vm.state = VmPhase::Up;
-            vm.capacity = info.capacity;
-            vm.worker = info.id;
-            daemon.vmService.vms.push_back(vm);
-        }
-    }
-
     /// Has a job of one task completed, one copy of whose start order is still open.
     void completeWithAnOpenCopy(const std::string& id)
     {
@@ -54,6 +41,13 @@
         daemon.link.down.insert(this->crashed);
     }
 
+    /// Neither the directory nor the fleet shows the worker any more.
+    void leave()
+    {
+        this->first->coordinator.removeWorker(this->crashed);
+        std::erase_if(this->first->vmService.vms, [this](const VmInfo& vm) { return vm.worker == this->crashed; });
+    }
+
     void startAgain(FakeDaemon& daemon)
     {
         this->workers.restart(this->crashed, 0);
@@ -110,13 +104,31 @@
 {
     this->completeWithAnOpenCopy("j");
     this->crash(*this->first);
-    this->first->coordinator.removeWorker(this->crashed);
-    std::erase_if(this->first->vmService.vms, [this](const VmInfo& vm) { return vm.worker == this->crashed; });
+    this->leave();
     this->runFor(Milliseconds(6500));
     this->startAgainBeforeTheCopy(*this->first);
     BOOST_TEST(this->workers.startedTwice.empty());
 }
 
+/// Guards against a copy that arrives before the first call: the directory lists a worker again that was taken for gone
+/// and is called only now and then.
+BOOST_AUTO_TEST_CASE(aWorkerThatIsListedAgainIsCalledAtOnce)
+{
+    this->completeWithAnOpenCopy("j");
+    this->first->link.unreachable.insert(this->crashed);
+    this->leave();
+    this->runFor(Milliseconds(6500));
+    std::size_t before = this->first->link.failedRenewals[this->crashed];
+    BOOST_REQUIRE(this->runUntil([&] { return this->first->link.failedRenewals[this->crashed] > before; }));
+    this->runFor(Milliseconds(100));
+    this->workers.restart(this->crashed, 0);
+    this->first->link.unreachable.clear();
+    for (const auto& info : FakeDaemon::directory())
+        this->first->coordinator.updateWorker(info);
+    this->runFor(Milliseconds(100));
+    BOOST_TEST(this->workers.workers[this->crashed].isRenewed);
+}
+
 /// Guards against the same under the next leader, to which a leader that was lost has told nothing.
 BOOST_AUTO_TEST_CASE(anOpenCopyOfALostLeaderIsRefused)
 {
@@ -126,7 +138,7 @@
     for (const auto& info : FakeDaemon::directory())
         this->first->link.unreachable.insert(info.id);
     this->second = this->makeDaemon("second", "2");
-    OpenCopyFixture::listVms(*this->second);
+    this->second->listVms();
     this->crash(*this->second);
     this->second->coordinator.start();
     BOOST_REQUIRE(this->runUntil([this] { return this->second->coordinator.isLeader(); }));
--- a/tests/takeovers/ModelWorld.cpp
+++ b/tests/takeovers/ModelWorld.cpp
@@ -481,8 +481,7 @@
         this->terms.push_back({ term.fencingToken, BootClock::now(), term.earlierOrdersExpire });
         if (this->terms.size() > comparedTerms)
             this->terms.erase(this->terms.begin());
-        Instant leasesExpire
-            = term.earlierOrdersExpire.at() + LeaseManager<ModelLink>::longestLease(this->limits.leaseDuration);
+        Instant leasesExpire = term.earlierOrdersExpire.at() + LeaseBounds::longestLease(this->limits.leaseDuration);
         VirtualLoop::shared().schedule(
             leasesExpire - BootClock::now(), nullptr, [this, token = term.fencingToken] { this->checkLeases(token); });
     }
--- a/tests/takeovers/TakeoverTests.cpp
+++ b/tests/takeovers/TakeoverTests.cpp
@@ -70,82 +70,62 @@
 
 std::uint64_t firstSeed() { return wanted("GREENGAGE_FIRST_SEED", 1); }
 
-/// Plays until there were `atLeast` take-overs.
-void playTakeovers(std::size_t daemons, std::size_t atLeast)
+/// Plays seeds, each by `playSeed`, until there were `atLeast` of what `counted` counts.
+template <typename PlaySeed>
+void playSeeds(
+    std::size_t daemons, std::size_t Summary::*counted, std::size_t atLeast, LogLevel level, const PlaySeed& playSeed)
 {
-    startLog(LogLevel::Error);
-    constexpr std::size_t roundsPerSeed = 10;
+    startLog(level);
     Summary summary;
-    for (std::uint64_t seed = firstSeed(); summary.takeovers < atLeast; ++seed) {
+    for (std::uint64_t seed = firstSeed(); summary.*counted < atLeast; ++seed) {
         TakeoverPlay play(seed, daemons);
-        play.play(roundsPerSeed);
+        playSeed(play);
         summary.add(play.world);
     }
     summary.print(daemons);
     BOOST_TEST(summary.violations.empty());
 }
 
+LogLevel wantedLogLevel() { return std::getenv("GREENGAGE_PLAY_LOG") ? LogLevel::Info : LogLevel::Error; }
+
+/// Plays until there were `atLeast` take-overs.
+void playTakeovers(std::size_t daemons, std::size_t atLeast)
+{
+    playSeeds(daemons, &Summary::takeovers, atLeast, LogLevel::Error, [](TakeoverPlay& play) { play.play(10); });
+}
+
 /// Plays until there were `atLeast` restarts of workers.
 void playRestarts(std::size_t daemons, std::size_t atLeast, bool holdsCallsUp)
 {
-    startLog(std::getenv("GREENGAGE_PLAY_LOG") ? LogLevel::Info : LogLevel::Error);
-    constexpr std::size_t roundsPerSeed = 5;
-    Summary summary;
-    for (std::uint64_t seed = firstSeed(); summary.restarts < atLeast; ++seed) {
-        TakeoverPlay play(seed, daemons);
+    playSeeds(daemons, &Summary::restarts, atLeast, wantedLogLevel(), [holdsCallsUp](TakeoverPlay& play) {
         play.world.holdsCallsUp = holdsCallsUp;
-        play.playRestarts(roundsPerSeed);
-        summary.add(play.world);
-    }
-    summary.print(daemons);
-    BOOST_TEST(summary.violations.empty());
+        play.playRestarts(5);
+    });
 }
 
 /// Plays open copies of start orders until there were `atLeast` restarts of workers.
 void playOpenCopies(std::size_t daemons, std::size_t atLeast)
 {
-    startLog(std::getenv("GREENGAGE_PLAY_LOG") ? LogLevel::Info : LogLevel::Error);
-    constexpr std::size_t roundsPerSeed = 3;
-    Summary summary;
-    for (std::uint64_t seed = firstSeed(); summary.restarts < atLeast; ++seed) {
-        TakeoverPlay play(seed, daemons);
+    playSeeds(daemons, &Summary::restarts, atLeast, wantedLogLevel(), [](TakeoverPlay& play) {
         play.world.holdsCallsUp = true;
-        play.playOpenCopies(roundsPerSeed);
-        summary.add(play.world);
-    }
-    summary.print(daemons);
-    BOOST_TEST(summary.violations.empty());
+        play.playOpenCopies(3);
+    });
 }
 
 /// Plays chains of planned hand-overs until there were `atLeast` of them.
 void playHandOvers(std::size_t daemons, std::size_t atLeast)
 {
-    startLog(std::getenv("GREENGAGE_PLAY_LOG") ? LogLevel::Info : LogLevel::Error);
-    constexpr std::size_t roundsPerSeed = 5;
-    Summary summary;
-    for (std::uint64_t seed = firstSeed(); summary.takeovers < atLeast; ++seed) {
-        TakeoverPlay play(seed, daemons);
-        play.playHandOvers(roundsPerSeed);
-        summary.add(play.world);
-    }
-    summary.print(daemons);
-    BOOST_TEST(summary.violations.empty());
+    playSeeds(
+        daemons, &Summary::takeovers, atLeast, wantedLogLevel(), [](TakeoverPlay& play) { play.playHandOvers(5); });
 }
 
 /// Plays chains of leaders that reach other workers each until there were `atLeast` take-overs.
 void playChains(std::size_t daemons, std::size_t atLeast, bool holdsCallsUp)
 {
-    startLog(std::getenv("GREENGAGE_PLAY_LOG") ? LogLevel::Info : LogLevel::Error);
-    constexpr std::size_t roundsPerSeed = 3;
-    Summary summary;
-    for (std::uint64_t seed = firstSeed(); summary.takeovers < atLeast; ++seed) {
-        TakeoverPlay play(seed, daemons);
+    playSeeds(daemons, &Summary::takeovers, atLeast, wantedLogLevel(), [holdsCallsUp](TakeoverPlay& play) {
         play.world.holdsCallsUp = holdsCallsUp;
-        play.playChains(roundsPerSeed);
-        summary.add(play.world);
-    }
-    summary.print(daemons);
-    BOOST_TEST(summary.violations.empty());
+        play.playChains(3);
+    });
 }
 
 } // namespace
