--- a/modules/coordinator/fleet/FleetController.h
+++ b/modules/coordinator/fleet/FleetController.h
@@ -89,7 +89,7 @@
     struct Progress {
         WaveRecord record;
         std::int64_t revision = 0;
-        /// VMs that the listings lacked when the answer to an order said that they are not up.
+        /// VMs that the listings lack since the answer to an order said that they are not up.
         std::set<VmId> absent;
     };
 
@@ -294,6 +294,7 @@
         Progress& progress = this->progress.at(wave.number);
         MaintenanceWave current = wave;
         current.done = progress.record.done;
+        std::erase_if(progress.absent, [this](const VmId& vm) { return this->fleet.vms().contains(vm); });
         bool isFinished = std::all_of(wave.vms.begin(), wave.vms.end(),
             [&](const VmId& vm) { return current.done.contains(vm) || this->hasLeft(wave, vm); });
         if (isFinished) {
@@ -309,7 +310,8 @@
             return;
         }
         for (const auto& vm : wave.vms) {
-            if (this->fleet.isUnlisted(vm, wave.receivedAt) && !this->mayRunTasks(vm))
+            bool isInDoubt = this->fleet.isUnlisted(vm, wave.receivedAt) && !progress.absent.contains(vm);
+            if (isInDoubt && !this->mayRunTasks(vm))
                 current.unlisted.insert(vm);
         }
         this->isDraining = true;
--- a/modules/coordinator/tests/WaveTests.cpp
+++ b/modules/coordinator/tests/WaveTests.cpp
@@ -161,6 +161,20 @@
 
 BOOST_AUTO_TEST_CASE(aWaveIsCompletedWithoutAVmThatHasLeft) { this->checkVmIsLeftOut("m2"); }
 
+/// Guards against orders that are repeated to a VM that has left, while the wave goes on for others.
+BOOST_AUTO_TEST_CASE(aVmThatHasLeftGetsOneOrder)
+{
+    this->fleet.vms.at(VmId("m1")).state = VmPhase::Moving;
+    this->fleet.vms.erase(VmId("m2"));
+    this->runFor(Milliseconds(700));
+    this->orderWave({ VmId("m1"), VmId("m2") });
+    this->runFor(Milliseconds(4000));
+    BOOST_TEST(!this->isCompleted());
+    BOOST_TEST(this->fleet.orders.size() == 1U);
+    this->fleet.vms.at(VmId("m1")).state = VmPhase::Up;
+    this->checkVmIsMaintained("m1");
+}
+
 /// Guards against a wave that never ends: an order to a VM that has left may be answered like one to a VM that is
 /// leaving.
 BOOST_AUTO_TEST_CASE(aWaveIsCompletedWithoutAVmThatHasLeftAndIsAnsweredAsBusy)
